Set up the build and the types that the parts share

Cause: the library, the daemon and the stand-ins are built side by side and need one agreed set of types before any of them has behaviour. Change: three Maven modules with Error Prone, Spotless (Effective Java layout, AOSP style) and Checkstyle as build failures; the clock, result codes, requests, attempts, configuration, peer messages and platform interface; the written contracts of the platform's service and of backend servers. Ruled out: codec annotations on messages; records of plain components let one codec serve them all.

--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon that runs on an entry host. */
+package org.siskinramp.daemon;
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/attempt/Attempt.java
@@ -0,0 +1,98 @@
+package org.siskinramp.attempt;
+
+import java.util.Objects;
+import java.util.function.BooleanSupplier;
+import org.siskinramp.configuration.BackendServer;
+import org.siskinramp.request.Request;
+
+/** Describes one try to run a request on a backend server. */
+public final class Attempt {
+
+    private final long number;
+    private final Request request;
+    private final BackendServer backendServer;
+    private final long deadlineMilliseconds;
+    private final boolean cold;
+    private final BooleanSupplier permission;
+
+    /**
+     * Describes an attempt.
+     *
+     * @param number a number that is unique on this entry host
+     * @param request the request
+     * @param backendServer where to run it
+     * @param deadlineMilliseconds when the attempt is given up, in monotonic milliseconds; the
+     *     backend server is told the time that is left
+     * @param cold whether the server is in its cold start
+     * @param permission asked at the last moment before the first byte goes out; if it answers
+     *     false nothing may be sent
+     */
+    public Attempt(
+            long number,
+            Request request,
+            BackendServer backendServer,
+            long deadlineMilliseconds,
+            boolean cold,
+            BooleanSupplier permission) {
+        this.number = number;
+        this.request = Objects.requireNonNull(request, "request");
+        this.backendServer = Objects.requireNonNull(backendServer, "backendServer");
+        this.deadlineMilliseconds = deadlineMilliseconds;
+        this.cold = cold;
+        this.permission = Objects.requireNonNull(permission, "permission");
+    }
+
+    /**
+     * Returns the number of the attempt.
+     *
+     * @return a number that is unique on this entry host
+     */
+    public long number() {
+        return number;
+    }
+
+    /**
+     * Returns the request.
+     *
+     * @return the request
+     */
+    public Request request() {
+        return request;
+    }
+
+    /**
+     * Returns where to run it.
+     *
+     * @return the backend server
+     */
+    public BackendServer backendServer() {
+        return backendServer;
+    }
+
+    /**
+     * Returns when the attempt is given up.
+     *
+     * @return monotonic milliseconds
+     */
+    public long deadlineMilliseconds() {
+        return deadlineMilliseconds;
+    }
+
+    /**
+     * Tells whether the server is in its cold start.
+     *
+     * @return true if it is cold
+     */
+    public boolean isCold() {
+        return cold;
+    }
+
+    /**
+     * Tells, at the moment of the call, whether the attempt may still be sent.
+     *
+     * @return false if nothing may be sent any more
+     */
+    public boolean isPermitted() {
+        return permission.getAsBoolean();
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/attempt/AttemptException.java
@@ -0,0 +1,63 @@
+package org.siskinramp.attempt;
+
+import java.util.Objects;
+import java.util.concurrent.CompletionException;
+
+/** Reports an attempt that ended without a whole answer. */
+public final class AttemptException extends RuntimeException {
+
+    private static final long serialVersionUID = 1L;
+
+    private final AttemptFailure failure;
+    private final transient LoadReport loadReport;
+
+    /**
+     * Creates the failure.
+     *
+     * @param failure why the attempt ended
+     * @param loadReport what the server said of itself, or {@link LoadReport#NONE}
+     * @param detail what a person needs to find the cause
+     */
+    public AttemptException(AttemptFailure failure, LoadReport loadReport, String detail) {
+        super(failure + ": " + detail, null, false, false);
+        this.failure = Objects.requireNonNull(failure, "failure");
+        this.loadReport = loadReport;
+    }
+
+    /**
+     * Finds the attempt's failure beneath a failed future.
+     *
+     * @param failure the failure as a future reports it
+     * @return the attempt's failure; an unexpected one counts as a broken connection, since the
+     *     request may have run
+     */
+    public static AttemptException from(Throwable failure) {
+        Throwable cause = failure;
+        while (cause instanceof CompletionException && cause.getCause() != null) {
+            cause = cause.getCause();
+        }
+        if (cause instanceof AttemptException attempt) {
+            return attempt;
+        }
+        return new AttemptException(
+                AttemptFailure.CONNECTION_BROKEN, LoadReport.NONE, String.valueOf(cause));
+    }
+
+    /**
+     * Returns why the attempt ended.
+     *
+     * @return the reason
+     */
+    public AttemptFailure failure() {
+        return failure;
+    }
+
+    /**
+     * Returns what the server said of itself.
+     *
+     * @return the load report
+     */
+    public LoadReport loadReport() {
+        return loadReport == null ? LoadReport.NONE : loadReport;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/configuration/BackendServer.java
@@ -0,0 +1,23 @@
+package org.siskinramp.configuration;
+
+/**
+ * Describes a backend server.
+ *
+ * @param name its unique name
+ * @param service the service that it answers for
+ * @param host the host that it runs on
+ * @param availabilityZone its availability zone
+ * @param address its address and port, as {@code ip:port}
+ * @param slots how many requests it bears at once when warm, one or more
+ * @param coldSlots how many it bears at once when cold, from one to {@code slots}
+ * @param state whether it takes new work
+ */
+public record BackendServer(
+        String name,
+        String service,
+        String host,
+        String availabilityZone,
+        String address,
+        int slots,
+        int coldSlots,
+        ServiceState state) {}
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/log/Counter.java
@@ -0,0 +1,58 @@
+package org.siskinramp.log;
+
+import java.util.Locale;
+
+/** Names the counters that the decisions raise. */
+public enum Counter {
+    /** Requests that arrived. */
+    REQUESTS,
+    /** Requests answered by a backend server. */
+    REQUESTS_ANSWERED,
+    /** Requests refused as not run. */
+    REQUESTS_REFUSED,
+    /** Requests whose outcome is unknown or failed. */
+    REQUESTS_FAILED,
+    /** Non-idempotent requests answered with a kept answer. */
+    REQUESTS_REPLAYED,
+    /** Attempts sent to backend servers. */
+    ATTEMPTS,
+    /** Second attempts of idempotent requests. */
+    RETRIES,
+    /** Attempts sent while another attempt of the request was in progress. */
+    HEDGES,
+    /** Requests that waited for a slot. */
+    WAITS,
+    /** Slots asked for from other hosts. */
+    LOAN_ASKS,
+    /** Slots lent to other hosts. */
+    LOANS_GRANTED,
+    /** Probes sent to backend servers. */
+    PROBES,
+    /** Internal checks that failed. */
+    INVARIANT_VIOLATIONS,
+    /** Claims committed. */
+    CLAIMS,
+    /** Transactions sent to the table service. */
+    PLATFORM_WRITES,
+    /** Frames sent to other entry hosts. */
+    PEER_FRAMES,
+    /** Bytes sent to other entry hosts. */
+    PEER_BYTES,
+    /** Peer links closed because of a malformed frame. */
+    PEER_FRAMES_INVALID,
+    /** Backend servers found cold. */
+    COLD_STARTS,
+    /** Backend servers ejected. */
+    EJECTIONS,
+    /** Connections closed because they had gone silent. */
+    SILENT_CONNECTIONS;
+
+    /**
+     * Returns the name used in metrics.
+     *
+     * @return the name, such as {@code siskinramp_requests}
+     */
+    public String metricName() {
+        return "siskinramp_" + name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/peer/PeerSender.java
@@ -0,0 +1,14 @@
+package org.siskinramp.peer;
+
+/** Sends messages to other entry hosts, without a promise that they arrive. */
+@FunctionalInterface
+public interface PeerSender {
+
+    /**
+     * Sends a message.
+     *
+     * @param host the name of the receiving entry host
+     * @param message the message
+     */
+    void send(String host, PeerMessage message);
+}
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/peer/package-info.java
@@ -0,0 +1,8 @@
+/**
+ * Messages between entry hosts.
+ *
+ * <p>Every message is a record whose components are {@code String}, {@code long}, {@code int},
+ * {@code boolean}, {@code byte[]}, {@code double}, or a {@code List} of these or of such records,
+ * so that one codec serves them all.
+ */
+package org.siskinramp.peer;
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/platform/ListedHost.java
@@ -0,0 +1,12 @@
+package org.siskinramp.platform;
+
+/**
+ * Describes an entry host in the platform's list, which lags behind the truth.
+ *
+ * @param name the host's name
+ * @param availabilityZone the host's availability zone
+ * @param peerAddress address and port of the host's peer link, as {@code ip:port}
+ * @param leaving whether the platform is about to stop the host
+ */
+public record ListedHost(
+        String name, String availabilityZone, String peerAddress, boolean leaving) {}
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/platform/RowKey.java
@@ -0,0 +1,9 @@
+package org.siskinramp.platform;
+
+/**
+ * Names a row of the table service.
+ *
+ * @param table the table
+ * @param key the key within the table
+ */
+public record RowKey(String table, String key) {}
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/request/RequestKey.java
@@ -0,0 +1,15 @@
+package org.siskinramp.request;
+
+/**
+ * Identifies a request: the same caller and identifier always mean the same request.
+ *
+ * @param caller the caller's name
+ * @param requestId the identifier that the caller chose
+ */
+public record RequestKey(String caller, String requestId) {
+
+    @Override
+    public String toString() {
+        return caller + "/" + requestId;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/request/package-info.java
@@ -0,0 +1,2 @@
+/** A caller's request and its answer. */
+package org.siskinramp.request;
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/result/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered result codes and the failure that carries one. */
+package org.siskinramp.result;
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/time/package-info.java
@@ -0,0 +1,2 @@
+/** The clock that every decision reads. */
+package org.siskinramp.time;
--- /dev/null
+++ b/stand-in/src/main/java/org/siskinramp/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Small replacements for the systems that siskinramp meets, used in tests and measurements. */
+package org.siskinramp.standin;
