Route requests through owned, lent and warmed slots

Cause: any scheme in which each entry host guesses the load that the others send overshoots a server of 4 slots; the capacity has to be owned. Change: one router per service, under one lock, with effects run outside it: choice by expected time and availability zone, a bounded queue by weight and deadline with refusal at once, retries and hedges inside share budgets, loans of idle slots for a term, cold start judged by the holder of slot 0 on evidence, ejection with single trials, and memory of requests whose connection broke. Ruled out: warming on time alone, since a server that nobody used is as cold as before.

--- /dev/null
+++ b/library/src/main/java/org/siskinramp/health/MovingAverage.java
@@ -0,0 +1,37 @@
+package org.siskinramp.health;
+
+/** Keeps an exponentially weighted moving average. It is not safe for use by several threads. */
+public final class MovingAverage {
+
+    private final double weight;
+    private double average;
+
+    /**
+     * Creates an average.
+     *
+     * @param initial the value before the first sample
+     * @param weight the weight of a new sample, above 0 and at most 1
+     */
+    public MovingAverage(double initial, double weight) {
+        this.average = initial;
+        this.weight = weight;
+    }
+
+    /**
+     * Takes a sample in.
+     *
+     * @param sample the sample
+     */
+    public void add(double sample) {
+        average += weight * (sample - average);
+    }
+
+    /**
+     * Returns the average.
+     *
+     * @return the average of the samples so far
+     */
+    public double value() {
+        return average;
+    }
+}
--- a/library/src/main/java/org/siskinramp/peer/LoanGrant.java
+++ b/library/src/main/java/org/siskinramp/peer/LoanGrant.java
@@ -28,16 +28,10 @@
     /**
      * Lends one slot. The borrower counts the term from when it sent the ask.
      *
-     * @param loanNumber a number that is unique on the lending host
+     * @param loanNumber a number that is unique for the service on the lending host
      * @param backendServer the backend server
      * @param index the index of the slot
      * @param termMilliseconds how long the borrower may start requests there, in milliseconds
-     * @param configurationVersion the configuration that the lender acts on
      */
-    public record Loan(
-            long loanNumber,
-            String backendServer,
-            int index,
-            long termMilliseconds,
-            long configurationVersion) {}
+    public record Loan(long loanNumber, String backendServer, int index, long termMilliseconds) {}
 }
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/queue/package-info.java
@@ -0,0 +1,2 @@
+/** Requests that wait for a slot. */
+package org.siskinramp.queue;
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/routing/RequestSuspicion.java
@@ -0,0 +1,33 @@
+package org.siskinramp.routing;
+
+/** Tells and is told which requests were in progress on servers that stopped. */
+public interface RequestSuspicion {
+
+    /** Suspects nothing and forgets everything. */
+    RequestSuspicion NONE =
+            new RequestSuspicion() {
+                @Override
+                public boolean mustRunAlone(String contentHash) {
+                    return false;
+                }
+
+                @Override
+                public void serverStopped(String contentHash, String backendServer) {}
+            };
+
+    /**
+     * Tells whether a request may only run alone on a server.
+     *
+     * @param contentHash the hash of the request
+     * @return true if it was in progress on a server that stopped
+     */
+    boolean mustRunAlone(String contentHash);
+
+    /**
+     * Records that a server stopped while it ran a request.
+     *
+     * @param contentHash the hash of the request
+     * @param backendServer the server that stopped
+     */
+    void serverStopped(String contentHash, String backendServer);
+}
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/routing/ServerCandidate.java
@@ -0,0 +1,17 @@
+package org.siskinramp.routing;
+
+/**
+ * Describes a backend server that may get the next request.
+ *
+ * @param backendServer its name
+ * @param sameAvailabilityZone whether it is in this host's availability zone
+ * @param score the expected milliseconds for a successful answer
+ * @param requestsInProgress how many requests this host has in progress there
+ * @param reportedLoad how many requests the server last said it was running, or -1
+ */
+public record ServerCandidate(
+        String backendServer,
+        boolean sameAvailabilityZone,
+        double score,
+        int requestsInProgress,
+        int reportedLoad) {}
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/routing/ServerObserver.java
@@ -0,0 +1,320 @@
+package org.siskinramp.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.siskinramp.attempt.AttemptAnswer;
+import org.siskinramp.attempt.AttemptException;
+import org.siskinramp.attempt.AttemptFailure;
+import org.siskinramp.attempt.LoadReport;
+import org.siskinramp.configuration.BackendServer;
+import org.siskinramp.log.Counter;
+import org.siskinramp.log.LogEvent;
+import org.siskinramp.peer.ServerAllowance;
+import org.siskinramp.request.Request;
+import org.siskinramp.slot.SlotKey;
+
+/**
+ * Draws conclusions on backend servers from answers, failures, probes and the words of other hosts.
+ * It is guarded by the lock of the service.
+ */
+final class ServerObserver {
+
+    private final ServiceState state;
+    private final WordSender words;
+
+    ServerObserver(ServiceState state, WordSender words) {
+        this.state = state;
+        this.words = words;
+    }
+
+    /** Tells other hosts of a server, outside the lock. */
+    interface WordSender {
+
+        /**
+         * Tells every other host that a server bears less than before.
+         *
+         * @param allowance the new allowance
+         */
+        void tellReduction(ServerAllowance allowance);
+
+        /**
+         * Tells the judge of a server that it was seen to start anew or to refuse work.
+         *
+         * @param backendServer the server
+         * @param bootIdentity the boot identity that was seen, or an empty string
+         */
+        void tellSighting(String backendServer, String bootIdentity);
+
+        /**
+         * Reports the end of a probe.
+         *
+         * @param backendServer the server
+         * @param report the load report, or null if the probe failed
+         */
+        void probed(String backendServer, LoadReport report);
+    }
+
+    void answered(
+            ServerState server,
+            AttemptAnswer result,
+            boolean failed,
+            long latencyMilliseconds,
+            Effects effects) {
+        long now = state.now();
+        server.hear(result.loadReport(), now);
+        noteBootIdentity(server, result.loadReport().bootIdentity(), effects);
+        if (failed) {
+            recordFailure(server, now);
+            return;
+        }
+        server.health().recordSuccess(latencyMilliseconds);
+        state.latencies().add(latencyMilliseconds);
+        if (server.warmth().recordAnswer(latencyMilliseconds, now)) {
+            foundCold(server, "slow", effects);
+        }
+    }
+
+    void failed(
+            ServerState server,
+            Request request,
+            AttemptException failure,
+            long lastedMilliseconds,
+            Effects effects) {
+        long now = state.now();
+        noteBootIdentity(server, failure.loadReport().bootIdentity(), effects);
+        AttemptFailure reason = failure.failure();
+        switch (reason) {
+            case NOT_PERMITTED, CANCELLED -> {}
+            case SHED -> {
+                server.hear(failure.loadReport(), now);
+                recordFailure(server, now);
+                startCold(server, "shed", effects);
+            }
+            case LEAVING -> close(server, "leaving", effects);
+            case CONNECTION_REFUSED -> {
+                recordFailure(server, now);
+                close(server, "refused", effects);
+                blameBroken(server, effects);
+            }
+            case CONNECTION_BROKEN -> {
+                server.rememberBroken(request.contentHash(), now);
+                recordFailure(server, now);
+                startCold(server, "broken", effects);
+            }
+            case TIMED_OUT -> {
+                server.health().recordSlow(lastedMilliseconds);
+                recordFailure(server, now);
+            }
+            case CONNECTION_TIMED_OUT, ANSWER_INCOMPLETE, ANSWER_CROSSED, ANSWER_TOO_LARGE ->
+                    recordFailure(server, now);
+        }
+    }
+
+    private void recordFailure(ServerState server, long now) {
+        if (server.health().recordFailure(now, state.mayEject(now))) {
+            state.environment().counters().add(Counter.EJECTIONS);
+            log("server_ejected", server, "failures");
+        }
+    }
+
+    private void noteBootIdentity(ServerState server, String bootIdentity, Effects effects) {
+        if (server.warmth().seeBootIdentity(bootIdentity, state.now())) {
+            foundCold(server, "new_start", effects);
+            blameBroken(server, effects);
+        }
+    }
+
+    private void blameBroken(ServerState server, Effects effects) {
+        String name = server.backendServer().name();
+        for (String hash : server.takeBroken(state.now())) {
+            effects.add(() -> state.environment().requestSuspicion().serverStopped(hash, name));
+        }
+    }
+
+    private void startCold(ServerState server, String reason, Effects effects) {
+        server.warmth().startCold(state.now());
+        foundCold(server, reason, effects);
+    }
+
+    private void foundCold(ServerState server, String reason, Effects effects) {
+        state.environment().counters().add(Counter.COLD_STARTS);
+        log("server_cold", server, reason);
+        tell(server, effects);
+    }
+
+    private void close(ServerState server, String reason, Effects effects) {
+        if (server.warmth().isClosed()) {
+            return;
+        }
+        if (server.warmth().isJudge()) {
+            server.warmth().close();
+        } else {
+            server.warmth().startCold(state.now());
+        }
+        log("server_closed", server, reason);
+        tell(server, effects);
+    }
+
+    private void tell(ServerState server, Effects effects) {
+        String name = server.backendServer().name();
+        String boot = server.warmth().bootIdentity();
+        if (server.warmth().isJudge()) {
+            ServerAllowance allowance =
+                    new ServerAllowance(name, server.warmth().judgedAllowance(), boot);
+            effects.add(() -> words.tellReduction(allowance));
+        } else {
+            effects.add(() -> words.tellSighting(name, boot));
+        }
+    }
+
+    private void log(String event, ServerState server, String reason) {
+        state.environment()
+                .eventLog()
+                .record(
+                        LogEvent.named(event)
+                                .with("service", state.service().name())
+                                .with("backend_server", server.backendServer().name())
+                                .with("judge", server.warmth().isJudge())
+                                .with("reason", reason));
+    }
+
+    /**
+     * Follows another host's sighting of a cold start.
+     *
+     * @param backendServer the server
+     * @param bootIdentity the boot identity that was seen, or an empty string
+     * @param effects what happens outside the lock
+     */
+    void hearSighting(String backendServer, String bootIdentity, Effects effects) {
+        ServerState server = state.servers().get(backendServer);
+        if (server == null || !server.warmth().isJudge()) {
+            return;
+        }
+        boolean known =
+                !bootIdentity.isEmpty() && bootIdentity.equals(server.warmth().bootIdentity());
+        if (known && !server.warmth().isWarm()) {
+            tell(server, effects);
+            return;
+        }
+        if (server.warmth().isClosed()) {
+            tell(server, effects);
+            return;
+        }
+        server.warmth().seeBootIdentity(bootIdentity, state.now());
+        startCold(server, "sighting", effects);
+        probe(server, effects);
+    }
+
+    /**
+     * Sends the probes that are due and repeats sightings that the judge has not answered.
+     *
+     * @param effects what happens outside the lock
+     */
+    void watch(Effects effects) {
+        long now = state.now();
+        for (ServerState server : state.servers().values()) {
+            if (server.warmth().isSightingOpen()
+                    && server.isProbeDue(now, state.options().probeIntervalMilliseconds())) {
+                server.beginProbe(now);
+                server.endProbe();
+                tell(server, effects);
+            }
+            if (server.warmth().isJudge() && server.takesNewWork()) {
+                long interval =
+                        server.warmth().isWarm()
+                                ? state.options().probeIntervalMilliseconds()
+                                : state.options().suspectProbeIntervalMilliseconds();
+                if (server.isProbeDue(now, interval)) {
+                    probe(server, effects);
+                }
+            }
+        }
+    }
+
+    private void probe(ServerState server, Effects effects) {
+        server.beginProbe(state.now());
+        state.environment().counters().add(Counter.PROBES);
+        String name = server.backendServer().name();
+        effects.add(() -> sendProbe(name, server.backendServer()));
+    }
+
+    private void sendProbe(String name, BackendServer server) {
+        CompletableFuture<LoadReport> unused =
+                state.environment()
+                        .backendServerLink()
+                        .probe(server)
+                        .whenComplete((report, failure) -> words.probed(name, report));
+    }
+
+    /**
+     * Takes the result of a probe in.
+     *
+     * @param backendServer the server
+     * @param report the load report, or null if the probe failed
+     * @param effects what happens outside the lock
+     */
+    void probed(String backendServer, LoadReport report, Effects effects) {
+        ServerState server = state.servers().get(backendServer);
+        if (server == null) {
+            return;
+        }
+        server.endProbe();
+        if (report == null || report.leaving()) {
+            close(server, report == null ? "probe_failed" : "leaving", effects);
+            return;
+        }
+        server.hear(report, state.now());
+        noteBootIdentity(server, report.bootIdentity(), effects);
+        if (server.warmth().isClosed()) {
+            startCold(server, "open_again", effects);
+        }
+    }
+
+    /**
+     * Follows the words of another host that judges servers.
+     *
+     * @param explicit the servers that the word names
+     * @param implicit the servers that the word leaves out as warm
+     * @param given a time, in monotonic milliseconds of this host, that the word is not older than
+     */
+    void hearWords(List<ServerAllowance> explicit, List<String> implicit, long given) {
+        for (ServerAllowance word : explicit) {
+            ServerState server = state.servers().get(word.backendServer());
+            if (server != null) {
+                server.warmth().hearWord(word.allowance(), true, given);
+            }
+        }
+        for (String name : implicit) {
+            ServerState server = state.servers().get(name);
+            if (server != null) {
+                server.warmth().hearWord(server.backendServer().slots(), false, given);
+            }
+        }
+    }
+
+    /**
+     * Follows a word of unknown age, which can only lower allowances.
+     *
+     * @param words the named servers
+     */
+    void hearReductions(List<ServerAllowance> words) {
+        for (ServerAllowance word : words) {
+            ServerState server = state.servers().get(word.backendServer());
+            if (server != null) {
+                server.warmth().hearReduction(word.allowance());
+            }
+        }
+    }
+
+    /** Makes this host the judge of the servers whose slot 0 it holds. */
+    void followHoldings() {
+        long now = state.now();
+        List<SlotKey> held = new ArrayList<>();
+        state.slots().own().stream().filter(Slot::isHeld).forEach(slot -> held.add(slot.key()));
+        for (ServerState server : state.servers().values()) {
+            SlotKey first = new SlotKey(server.backendServer().name(), 0);
+            server.warmth().setJudge(held.contains(first), now);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/routing/ServiceState.java
@@ -0,0 +1,201 @@
+package org.siskinramp.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.siskinramp.configuration.Configuration;
+import org.siskinramp.configuration.Service;
+import org.siskinramp.health.LatencyWindow;
+import org.siskinramp.health.ServerHealth;
+import org.siskinramp.queue.WaitingQueue;
+import org.siskinramp.slot.SlotKey;
+import org.siskinramp.warmth.ServerWarmth;
+
+/** Holds the tables of one service. It is guarded by the lock of the service. */
+final class ServiceState {
+
+    private static final long EXPECTED_LATENCY_MILLISECONDS = 20;
+    private static final double MEDIAN = 0.5;
+    private static final double LARGEST_EJECTED_SHARE = 0.5;
+
+    private final RoutingEnvironment environment;
+    private final RoutingOptions options;
+    private final Map<String, ServerState> servers = new TreeMap<>();
+    private final SlotTable slots = new SlotTable();
+    private final WaitingQueue<RequestRun> queue = new WaitingQueue<>();
+    private final LatencyWindow latencies = new LatencyWindow();
+    private Service service;
+
+    ServiceState(RoutingEnvironment environment, RoutingOptions options, Service service) {
+        this.environment = environment;
+        this.options = options;
+        this.service = service;
+    }
+
+    RoutingEnvironment environment() {
+        return environment;
+    }
+
+    RoutingOptions options() {
+        return options;
+    }
+
+    Service service() {
+        return service;
+    }
+
+    Map<String, ServerState> servers() {
+        return servers;
+    }
+
+    SlotTable slots() {
+        return slots;
+    }
+
+    WaitingQueue<RequestRun> queue() {
+        return queue;
+    }
+
+    LatencyWindow latencies() {
+        return latencies;
+    }
+
+    long now() {
+        return environment.clock().monotonicMilliseconds();
+    }
+
+    /**
+     * Follows a configuration.
+     *
+     * @param configuration the configuration, which has this service
+     */
+    void follow(Configuration configuration) {
+        service = configuration.service(service.name()).orElse(service);
+        long now = now();
+        List<String> present = new ArrayList<>();
+        configuration
+                .backendServersOf(service.name())
+                .forEach(
+                        server -> {
+                            present.add(server.name());
+                            boolean takesNewWork = configuration.takesNewWork(server);
+                            ServerState known = servers.get(server.name());
+                            if (known == null) {
+                                servers.put(
+                                        server.name(),
+                                        new ServerState(
+                                                server,
+                                                takesNewWork,
+                                                new ServerHealth(EXPECTED_LATENCY_MILLISECONDS),
+                                                new ServerWarmth(
+                                                        options.warmth(),
+                                                        server.slots(),
+                                                        server.coldSlots(),
+                                                        now)));
+                            } else {
+                                known.change(server, takesNewWork, now);
+                            }
+                        });
+        servers.keySet().retainAll(present);
+    }
+
+    /**
+     * Returns the typical latency of the service.
+     *
+     * @return the median in milliseconds
+     */
+    long typicalLatencyMilliseconds() {
+        return latencies.quantile(MEDIAN, EXPECTED_LATENCY_MILLISECONDS);
+    }
+
+    /**
+     * Tells whether one more server may be ejected.
+     *
+     * @param now monotonic milliseconds
+     * @return true while fewer than half of the servers are ejected
+     */
+    boolean mayEject(long now) {
+        long ejected =
+                servers.values().stream()
+                        .filter(server -> !server.health().isEligible(now))
+                        .count();
+        return ejected + 1 <= servers.size() * LARGEST_EJECTED_SHARE;
+    }
+
+    boolean hasServerForNewWork() {
+        return servers.values().stream().anyMatch(ServerState::takesNewWork);
+    }
+
+    boolean hasUntriedServer(RequestRun run) {
+        return servers.values().stream()
+                .anyMatch(
+                        server ->
+                                server.takesNewWork()
+                                        && !run.hasTried(server.backendServer().name()));
+    }
+
+    /**
+     * Lists the slots in which this host may start a request now, without regard to a particular
+     * request.
+     *
+     * @param now monotonic milliseconds
+     * @return the usable slots
+     */
+    List<Slot> usableSlots(long now) {
+        return slots.startable(now, environment.authorityUntil().getAsLong()).stream()
+                .filter(slot -> isUsable(slot, now))
+                .toList();
+    }
+
+    private boolean isUsable(Slot slot, long now) {
+        ServerState server = servers.get(slot.key().backendServer());
+        return server != null
+                && server.takesNewWork()
+                && server.health().isEligible(now)
+                && slot.key().index() < server.warmth().allowance(now);
+    }
+
+    /**
+     * Chooses the slot for a request.
+     *
+     * @param run the request
+     * @param now monotonic milliseconds
+     * @return the slot, or empty if the request has to wait
+     */
+    Optional<Slot> chooseSlot(RequestRun run, long now) {
+        List<Slot> usable = options.areSlotsOwned() ? usableSlots(now) : unownedSlots(now);
+        boolean alone = environment.requestSuspicion().mustRunAlone(run.request().contentHash());
+        Map<String, Slot> byServer = new TreeMap<>();
+        for (Slot slot : usable) {
+            String server = slot.key().backendServer();
+            if (!run.hasTried(server) && (!alone || isAlone(slot))) {
+                byServer.putIfAbsent(server, slot);
+            }
+        }
+        if (byServer.isEmpty()) {
+            return Optional.empty();
+        }
+        List<ServerCandidate> candidates =
+                byServer.keySet().stream()
+                        .map(name -> servers.get(name).candidate(environment.availabilityZone()))
+                        .toList();
+        int chosen = options.serverChoice().choose(candidates, environment.random());
+        return Optional.of(byServer.get(candidates.get(chosen).backendServer()));
+    }
+
+    private boolean isAlone(Slot slot) {
+        ServerState server = servers.get(slot.key().backendServer());
+        return slot.key().index() == 0
+                && server.warmth().isJudge()
+                && server.warmth().judgedAllowance() == 1;
+    }
+
+    private List<Slot> unownedSlots(long now) {
+        return servers.values().stream()
+                .filter(server -> server.takesNewWork() && server.health().isEligible(now))
+                .map(server -> Slot.own(new SlotKey(server.backendServer().name(), 0)))
+                .toList();
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/siskinramp/routing/RoutingTest.java
@@ -0,0 +1,218 @@
+package org.siskinramp.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.siskinramp.configuration.ServiceState;
+import org.siskinramp.request.RequestKind;
+import org.siskinramp.result.ResultCode;
+import org.siskinramp.result.ResultException;
+
+final class RoutingTest {
+
+    private static final long DEADLINE_MILLISECONDS = 1_000;
+
+    private static RoutingCell cell(int hosts, int servers, int slots) {
+        return new RoutingCell(hosts, servers, slots, 7, RoutingOptions.builder().build());
+    }
+
+    private static ResultCode codeOf(RequestRun run) {
+        return ResultException.from(run.answer().handle((answer, failure) -> failure).join())
+                .code();
+    }
+
+    /** Sends requests at a steady rate to all hosts in turn. */
+    private static List<RequestRun> load(
+            RoutingCell cell, int perSecond, long milliseconds, RequestKind kind) {
+        List<RequestRun> runs = new ArrayList<>();
+        List<String> hosts = List.copyOf(cell.hosts.keySet());
+        long gap = 1_000L / perSecond;
+        for (long at = 0; at < milliseconds; at += gap) {
+            long turn = at / gap;
+            cell.time.schedule(
+                    at,
+                    () ->
+                            runs.add(
+                                    cell.send(
+                                            hosts.get((int) (turn % hosts.size())),
+                                            kind,
+                                            "/portal/" + turn,
+                                            DEADLINE_MILLISECONDS)));
+        }
+        cell.time.advance(milliseconds + 2 * DEADLINE_MILLISECONDS);
+        return runs;
+    }
+
+    private static long answered(List<RequestRun> runs) {
+        return runs.stream().filter(run -> !run.answer().isCompletedExceptionally()).count();
+    }
+
+    @Test
+    void requestIsAnsweredOnceByAServer() {
+        RoutingCell cell = cell(3, 3, 4);
+        cell.time.advance(100);
+        RequestRun run = cell.send("entry-0", RoutingCell.ORDER, "/portal/a", 500);
+        cell.time.advance(500);
+        assertEquals(200, run.answer().join().status());
+        assertEquals(1, cell.servers.runsOf(run.request()));
+    }
+
+    @Test
+    void noServerEverHasMoreInProgressThanItsSlots() {
+        RoutingCell cell = cell(5, 6, 4);
+        cell.time.advance(3_000);
+        List<RequestRun> runs = load(cell, 1_000, 5_000, RoutingCell.READ);
+        assertEquals(List.of(), cell.servers.overloads());
+        assertTrue(runs.stream().allMatch(run -> run.answer().isDone()));
+        assertTrue(answered(runs) > runs.size() * 0.9, "answered " + answered(runs));
+    }
+
+    @Test
+    void coldServersAreWarmedWithoutOverload() {
+        RoutingCell cell = cell(5, 6, 4);
+        for (int index = 1; index <= 6; index++) {
+            cell.servers.server("server-" + index).bearsWhenCold(1, 20);
+        }
+        List<RequestRun> runs = load(cell, 200, 10_000, RoutingCell.READ);
+        assertEquals(List.of(), cell.servers.overloads());
+        assertTrue(answered(runs) > runs.size() * 0.9, "answered " + answered(runs));
+    }
+
+    @Test
+    void restartedServerIsTreatedAsColdWhenItsConnectionsBreak() {
+        RoutingCell cell = cell(3, 4, 4);
+        load(cell, 300, 4_000, RoutingCell.READ);
+        cell.servers.overloads().clear();
+        cell.servers.server("server-1").bearsWhenCold(1, 20);
+        cell.servers.server("server-1").setDown(true);
+        cell.time.schedule(300, () -> cell.servers.server("server-1").setDown(false));
+        load(cell, 300, 4_000, RoutingCell.READ);
+        assertEquals(List.of(), cell.servers.overloads());
+        assertTrue(cell.servers.server("server-1").answers() > 100);
+    }
+
+    @Test
+    void availabilityZoneTakenOutGetsNoNewWork() {
+        RoutingCell cell = cell(3, 6, 4);
+        load(cell, 300, 3_000, RoutingCell.READ);
+        cell.setAvailabilityZone("zone-2", ServiceState.OUT);
+        long outAt = cell.time.monotonicMilliseconds();
+        List<RequestRun> runs = load(cell, 300, 2_000, RoutingCell.READ);
+        assertTrue(cell.servers.server("server-1").lastNewWorkAt() <= outAt + 2);
+        assertEquals(runs.size(), answered(runs));
+    }
+
+    @Test
+    void leavingServerGetsNoNewWorkAndRequestsGoElsewhere() {
+        RoutingCell cell = cell(3, 6, 4);
+        load(cell, 300, 3_000, RoutingCell.ORDER);
+        cell.servers.server("server-1").setLeaving(true);
+        List<RequestRun> runs = load(cell, 300, 2_000, RoutingCell.ORDER);
+        assertEquals(runs.size(), answered(runs));
+        assertTrue(runs.stream().allMatch(run -> cell.servers.runsOf(run.request()) == 1));
+    }
+
+    @Test
+    void hostWithTwiceTheLoadBorrowsSlots() {
+        RoutingCell cell = cell(4, 8, 4);
+        load(cell, 500, 3_000, RoutingCell.READ);
+        List<RequestRun> runs = new ArrayList<>();
+        for (int at = 0; at < 6_000; at += 2) {
+            cell.time.schedule(
+                    at, () -> runs.add(cell.send("entry-0", RoutingCell.READ, "/portal/a", 1_000)));
+        }
+        cell.time.advance(8_000);
+        assertEquals(runs.size(), answered(runs));
+        assertEquals(List.of(), cell.servers.overloads());
+    }
+
+    @Test
+    void withoutBorrowingTheSameLoadIsRefused() {
+        RoutingCell cell =
+                new RoutingCell(
+                        4, 8, 4, 7, RoutingOptions.builder().loanMessagesPerSecond(0).build());
+        load(cell, 500, 3_000, RoutingCell.READ);
+        List<RequestRun> runs = new ArrayList<>();
+        for (int at = 0; at < 6_000; at += 2) {
+            cell.time.schedule(
+                    at, () -> runs.add(cell.send("entry-0", RoutingCell.READ, "/portal/a", 1_000)));
+        }
+        cell.time.advance(8_000);
+        assertTrue(answered(runs) < runs.size());
+    }
+
+    @Test
+    void nothingIsSentWithoutAuthority() {
+        RoutingCell cell = cell(3, 3, 4);
+        cell.time.advance(2_000);
+        cell.authorityUntil = 0;
+        RequestRun run = cell.send("entry-0", RoutingCell.ORDER, "/portal/a", 500);
+        cell.time.advance(1_000);
+        assertEquals(0, cell.servers.runsOf(run.request()));
+        assertEquals(ResultCode.DEADLINE_PASSED, codeOf(run));
+    }
+
+    @Test
+    void requestThatCannotMeetItsDeadlineIsRefusedAtOnce() {
+        RoutingCell cell = cell(1, 1, 1);
+        cell.time.advance(1_000);
+        for (int count = 0; count < 30; count++) {
+            cell.send("entry-0", RoutingCell.READ, "/portal/a", 100);
+        }
+        RequestRun late = cell.send("entry-0", RoutingCell.READ, "/portal/b", 100);
+        assertTrue(late.answer().isCompletedExceptionally());
+        assertEquals(ResultCode.DEADLINE_UNREACHABLE, codeOf(late));
+    }
+
+    @Test
+    void nonIdempotentRequestIsNotSentAgainAfterABrokenConnection() {
+        RoutingCell cell = cell(1, 3, 1);
+        for (int index = 1; index <= 3; index++) {
+            cell.servers.server("server-" + index).crashesOn("/portal/crash");
+        }
+        cell.time.advance(1_000);
+        RequestRun run = cell.send("entry-0", RoutingCell.ORDER, "/portal/crash", 1_000);
+        cell.time.advance(2_000);
+        assertEquals(ResultCode.OUTCOME_UNKNOWN, codeOf(run));
+        assertEquals(1, cell.servers.runsOf(run.request()));
+    }
+
+    @Test
+    void requestThatStopsAServerIsReportedOnceItsNewStartIsSeen() {
+        RoutingCell cell = cell(1, 3, 1);
+        cell.servers.server("server-1").crashesOn("/portal/crash");
+        cell.servers.server("server-2").crashesOn("/portal/crash");
+        cell.servers.server("server-3").crashesOn("/portal/crash");
+        load(cell, 50, 1_000, RoutingCell.READ);
+        cell.send("entry-0", RoutingCell.ORDER, "/portal/crash", 1_000);
+        cell.time.advance(2_000);
+        assertEquals(List.of("hash-of-/portal/crash"), cell.stops);
+    }
+
+    @Test
+    void serverThatFailsFastGetsLittle() {
+        RoutingCell cell = cell(3, 6, 4);
+        load(cell, 300, 3_000, RoutingCell.READ);
+        cell.servers.server("server-1").setFailsFast(true);
+        int before = cell.servers.server("server-1").answers();
+        List<RequestRun> runs = load(cell, 300, 4_000, RoutingCell.READ);
+        long failures =
+                runs.stream()
+                        .filter(run -> !run.answer().isCompletedExceptionally())
+                        .filter(run -> run.answer().join().status() == 500)
+                        .count();
+        assertTrue(cell.servers.server("server-1").answers() - before < 100);
+        assertTrue(failures < 20, "failures " + failures);
+    }
+
+    @Test
+    void probesStayWithinTheirBudget() {
+        RoutingCell cell = cell(5, 6, 4);
+        cell.time.advance(10_000);
+        assertFalse(cell.servers.probes() > 6 * 10 * 4, "probes " + cell.servers.probes());
+    }
+}
