Check a slot's right in one step at the last moment

Cause: the routing read the end of the authority and the holding of a slot apart, so a slot revoked between the two reads could pass. Measured: RoutingTest passes as before; the race itself cannot be shown in virtual time, which runs one step at a time.

--- a/library/src/main/java/org/siskinramp/routing/Dispatcher.java
+++ b/library/src/main/java/org/siskinramp/routing/Dispatcher.java
@@ -218,7 +218,7 @@
         }
         return slot.isBorrowed()
                 ? now < slot.usableUntil()
-                : slot.isHeld() && now < state.environment().authorityUntil().getAsLong();
+                : slot.isHeld() && state.environment().slotRights().isUsable(slot.key());
     }
 
     private void logRoute(
--- a/library/src/main/java/org/siskinramp/routing/LoanDesk.java
+++ b/library/src/main/java/org/siskinramp/routing/LoanDesk.java
@@ -133,7 +133,7 @@
         long term =
                 Math.min(
                         state.options().loanTermMilliseconds(),
-                        state.environment().authorityUntil().getAsLong() - now);
+                        state.environment().slotRights().authorityUntilMilliseconds() - now);
         List<Slot> lendable = state.queue().size() > 0 || term <= 0 ? List.of() : lendable(now);
         List<LoanGrant.Loan> loans = new ArrayList<>();
         for (Slot slot : lendable.subList(0, Math.min(ask.slots(), lendable.size()))) {
--- a/library/src/main/java/org/siskinramp/routing/RoutingEnvironment.java
+++ b/library/src/main/java/org/siskinramp/routing/RoutingEnvironment.java
@@ -1,12 +1,12 @@
 package org.siskinramp.routing;
 
-import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.siskinramp.attempt.BackendServerLink;
 import org.siskinramp.log.Counters;
 import org.siskinramp.log.EventLog;
 import org.siskinramp.peer.PeerSender;
 import org.siskinramp.slot.SlotReleases;
+import org.siskinramp.slot.SlotRights;
 import org.siskinramp.time.Clock;
 import org.siskinramp.time.Scheduler;
 
@@ -22,7 +22,7 @@
  * @param eventLog writes log lines
  * @param counters raises counters
  * @param random the source of randomness, safe for use by several threads or used by one service
- * @param authorityUntil until when this host may use its own slots, in monotonic milliseconds
+ * @param slotRights tells which slots this host may use
  * @param slotReleases is told of lost slots that became idle
  * @param requestSuspicion tells what is known of requests that stopped servers
  */
@@ -36,6 +36,6 @@
         EventLog eventLog,
         Counters counters,
         UniformRandomProvider random,
-        LongSupplier authorityUntil,
+        SlotRights slotRights,
         SlotReleases slotReleases,
         RequestSuspicion requestSuspicion) {}
--- a/library/src/main/java/org/siskinramp/routing/ServiceState.java
+++ b/library/src/main/java/org/siskinramp/routing/ServiceState.java
@@ -144,7 +144,7 @@
      * @return the usable slots
      */
     List<Slot> usableSlots(long now) {
-        return slots.startable(now, environment.authorityUntil().getAsLong()).stream()
+        return slots.startable(now, environment.slotRights().authorityUntilMilliseconds()).stream()
                 .filter(slot -> isUsable(slot, now))
                 .toList();
     }
--- a/library/src/test/java/org/siskinramp/routing/RoutingCell.java
+++ b/library/src/test/java/org/siskinramp/routing/RoutingCell.java
@@ -13,6 +13,8 @@
 import org.siskinramp.configuration.Place;
 import org.siskinramp.configuration.Service;
 import org.siskinramp.configuration.ServiceState;
+import org.siskinramp.peer.AllowanceChange;
+import org.siskinramp.peer.ColdSighting;
 import org.siskinramp.peer.PeerMessage;
 import org.siskinramp.peer.ServerAllowance;
 import org.siskinramp.request.Request;
@@ -21,6 +23,7 @@
 import org.siskinramp.routing.ServiceRouter.JudgedServer;
 import org.siskinramp.slot.SlotHoldings;
 import org.siskinramp.slot.SlotKey;
+import org.siskinramp.slot.SlotRights;
 import org.siskinramp.time.VirtualTime;
 
 /** Runs the routing of several entry hosts with fixed homes of slots under virtual time. */
@@ -88,7 +91,7 @@
                         event -> {},
                         (counter, amount) -> {},
                         random,
-                        () -> authorityUntil,
+                        new Rights(),
                         slot -> {},
                         new Suspicion());
         MessageBudget budget = new MessageBudget(time, options.loanMessagesPerSecond());
@@ -111,8 +114,7 @@
                                         deliver(
                                                 from,
                                                 host,
-                                                new org.siskinramp.peer.AllowanceChange(
-                                                        List.of(allowance))));
+                                                new AllowanceChange(List.of(allowance))));
             }
 
             @Override
@@ -123,8 +125,7 @@
                                         deliver(
                                                 from,
                                                 host,
-                                                new org.siskinramp.peer.ColdSighting(
-                                                        backendServer, bootIdentity)));
+                                                new ColdSighting(backendServer, bootIdentity)));
             }
         };
     }
@@ -210,6 +211,19 @@
         return hosts.get(host).of("portal").orElseThrow().run(request);
     }
 
+    private final class Rights implements SlotRights {
+
+        @Override
+        public boolean isUsable(SlotKey slot) {
+            return time.monotonicMilliseconds() < authorityUntil;
+        }
+
+        @Override
+        public long authorityUntilMilliseconds() {
+            return authorityUntil;
+        }
+    }
+
     private final class Suspicion implements RequestSuspicion {
 
         @Override
