Tell before a claim whether a request would be refused

Cause: a non-idempotent request needs a claim in the table service before it is queued; a request that the queue refuses anyway would cost a write and a release. Change: ServiceRouter.refusalOf answers with the queue's own rule.

--- a/library/src/main/java/org/siskinramp/routing/Dispatcher.java
+++ b/library/src/main/java/org/siskinramp/routing/Dispatcher.java
@@ -72,29 +72,40 @@
      * @param effects what happens outside the lock
      */
     void submit(RequestRun run, Effects effects) {
-        long now = state.now();
         retryBudget.earn();
         hedgeBudget.earn();
-        if (!state.hasServerForNewWork()) {
-            refuse(run, ResultCode.NO_BACKEND_SERVER, effects);
-            return;
-        }
-        Optional<Slot> slot = state.chooseSlot(run, now);
+        Optional<Slot> slot = state.chooseSlot(run, state.now());
         if (slot.isPresent()) {
             start(run, slot.get(), "first", effects);
             return;
         }
-        if (state.queue().size() >= state.service().queueLimit()) {
-            refuse(run, ResultCode.QUEUE_FULL, effects);
-            return;
-        }
-        if (now + expectedWaitMilliseconds(run) > latestStart(run)) {
-            refuse(run, ResultCode.DEADLINE_UNREACHABLE, effects);
+        Optional<ResultCode> refusal = refusalOf(run);
+        if (refusal.isPresent()) {
+            refuse(run, refusal.get(), effects);
             return;
         }
         enqueue(run, effects);
     }
 
+    /**
+     * Tells whether a request that has to wait would be refused at once.
+     *
+     * @param run the request
+     * @return the reason to refuse it, or empty if it may wait
+     */
+    Optional<ResultCode> refusalOf(RequestRun run) {
+        if (!state.hasServerForNewWork()) {
+            return Optional.of(ResultCode.NO_BACKEND_SERVER);
+        }
+        if (state.queue().size() >= state.service().queueLimit()) {
+            return Optional.of(ResultCode.QUEUE_FULL);
+        }
+        if (state.now() + expectedWaitMilliseconds(run) > latestStart(run)) {
+            return Optional.of(ResultCode.DEADLINE_UNREACHABLE);
+        }
+        return Optional.empty();
+    }
+
     private void enqueue(RequestRun run, Effects effects) {
         long now = state.now();
         run.setWaiting(true);
@@ -390,7 +401,7 @@
         fail(run, code, OptionalLong.of(retryAfterMilliseconds()), effects);
     }
 
-    private long retryAfterMilliseconds() {
+    long retryAfterMilliseconds() {
         int slots = Math.max(1, state.slots().own().size());
         return (state.queue().size() + 1) * state.typicalLatencyMilliseconds() / slots + 1;
     }
--- a/library/src/main/java/org/siskinramp/routing/ServiceRouter.java
+++ b/library/src/main/java/org/siskinramp/routing/ServiceRouter.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
@@ -16,6 +17,7 @@
 import org.siskinramp.peer.ServerAllowance;
 import org.siskinramp.request.Request;
 import org.siskinramp.result.ResultCode;
+import org.siskinramp.result.ResultException;
 import org.siskinramp.slot.SlotKey;
 
 /**
@@ -71,6 +73,28 @@
         return run;
     }
 
+    /**
+     * Tells whether a request would be refused at once, without running or queueing it.
+     *
+     * @param request the request
+     * @return the refusal, or empty if the request would be sent or would wait
+     */
+    public Optional<ResultException> refusalOf(Request request) {
+        lock.lock();
+        try {
+            return dispatcher
+                    .refusalOf(new RequestRun(request))
+                    .map(
+                            code ->
+                                    new ResultException(
+                                            code,
+                                            "request=" + request.key(),
+                                            dispatcher.retryAfterMilliseconds()));
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /**
      * Follows a configuration that has this service.
      *
