Decide in memory which host may use which slot

Cause: capacity of backend servers is owned by entry hosts, so each slot needs one owner at a time without asking the store for each request.

Ruled out: leases in the table service (an outage would stop service); counting acknowledgements at equal view versions only (every view change would stop all slots for a lease term). Instead majorities of two following views are needed until the earlier one cannot be in use, and a slot is taken only after every other member said that it acts on the same versions, or is suspected by a majority.

--- /dev/null
+++ b/library/src/main/java/org/siskinramp/membership/MembershipOptions.java
@@ -0,0 +1,143 @@
+package org.siskinramp.membership;
+
+import java.util.EnumSet;
+import java.util.Set;
+
+/** Holds the times of the membership. All hosts of a deployment need equal ones. */
+public final class MembershipOptions {
+
+    private static final long HEARTBEAT_INTERVAL_MILLISECONDS = 500;
+    private static final long LEASE_TERM_MILLISECONDS = 2_000;
+    private static final long TICK_INTERVAL_MILLISECONDS = 50;
+    private static final long CONFIGURATION_GRACE_MILLISECONDS = 1_500;
+    private static final long LIST_ABSENCE_MILLISECONDS = 30_000;
+    private static final long CLOCK_MARGIN_MILLISECONDS = 250;
+
+    private final long heartbeatIntervalMilliseconds;
+    private final long leaseTermMilliseconds;
+    private final Set<Safeguard> safeguards;
+
+    private MembershipOptions(Builder builder) {
+        heartbeatIntervalMilliseconds = builder.heartbeatIntervalMilliseconds;
+        leaseTermMilliseconds = builder.leaseTermMilliseconds;
+        safeguards = EnumSet.copyOf(builder.safeguards);
+    }
+
+    /**
+     * Starts with the usual times.
+     *
+     * @return a builder
+     */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /**
+     * Returns the time between two heartbeats to a peer.
+     *
+     * @return milliseconds
+     */
+    public long heartbeatIntervalMilliseconds() {
+        return heartbeatIntervalMilliseconds;
+    }
+
+    /**
+     * Returns how long an acknowledgement or a suspicion binds its sender.
+     *
+     * @return milliseconds
+     */
+    public long leaseTermMilliseconds() {
+        return leaseTermMilliseconds;
+    }
+
+    /**
+     * Returns the lease term with a margin for clocks that run at different speeds.
+     *
+     * @return milliseconds
+     */
+    long promiseMilliseconds() {
+        return leaseTermMilliseconds + leaseTermMilliseconds / 100;
+    }
+
+    long silenceMilliseconds() {
+        return 2 * promiseMilliseconds();
+    }
+
+    long tickIntervalMilliseconds() {
+        return TICK_INTERVAL_MILLISECONDS;
+    }
+
+    long configurationGraceMilliseconds() {
+        return CONFIGURATION_GRACE_MILLISECONDS;
+    }
+
+    long listAbsenceMilliseconds() {
+        return LIST_ABSENCE_MILLISECONDS;
+    }
+
+    long waitMilliseconds(long timeLimitMilliseconds) {
+        return timeLimitMilliseconds + timeLimitMilliseconds / 100 + CLOCK_MARGIN_MILLISECONDS;
+    }
+
+    boolean has(Safeguard safeguard) {
+        return safeguards.contains(safeguard);
+    }
+
+    /** Collects the times. */
+    public static final class Builder {
+
+        private long heartbeatIntervalMilliseconds = HEARTBEAT_INTERVAL_MILLISECONDS;
+        private long leaseTermMilliseconds = LEASE_TERM_MILLISECONDS;
+        private final EnumSet<Safeguard> safeguards = EnumSet.allOf(Safeguard.class);
+
+        private Builder() {}
+
+        /**
+         * Sets the time between two heartbeats to a peer.
+         *
+         * @param milliseconds the time in milliseconds, one or more
+         * @return this builder
+         */
+        public Builder heartbeatIntervalMilliseconds(long milliseconds) {
+            heartbeatIntervalMilliseconds = positive(milliseconds);
+            return this;
+        }
+
+        /**
+         * Sets the lease term.
+         *
+         * @param milliseconds the time in milliseconds, one or more
+         * @return this builder
+         */
+        public Builder leaseTermMilliseconds(long milliseconds) {
+            leaseTermMilliseconds = positive(milliseconds);
+            return this;
+        }
+
+        Builder without(Safeguard safeguard) {
+            safeguards.remove(safeguard);
+            return this;
+        }
+
+        /**
+         * Builds the options.
+         *
+         * @return the options
+         * @throws IllegalArgumentException if fewer than three heartbeats fit into a lease term
+         */
+        public MembershipOptions build() {
+            if (leaseTermMilliseconds < 3 * heartbeatIntervalMilliseconds) {
+                throw new IllegalArgumentException(
+                        "the lease term must be at least three heartbeat intervals");
+            }
+            return new MembershipOptions(this);
+        }
+
+        private static long positive(long milliseconds) {
+            if (milliseconds <= 0) {
+                throw new IllegalArgumentException("not a positive time: " + milliseconds);
+            }
+            return milliseconds;
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/membership/Ownership.java
@@ -0,0 +1,88 @@
+package org.siskinramp.membership;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.siskinramp.configuration.Configuration;
+import org.siskinramp.slot.SlotKey;
+import org.siskinramp.slot.SlotMap;
+
+/** Tells which slots this host owns: it is the first in their order that is not suspected. */
+final class Ownership {
+
+    private final String self;
+    private SlotMap map = SlotMap.EMPTY;
+    private Set<String> suspected = Set.of();
+    private Set<SlotKey> owned = Set.of();
+    private Set<String> predecessors = Set.of();
+
+    Ownership(String self) {
+        this.self = self;
+    }
+
+    void apply(Configuration configuration, MembershipView view) {
+        map =
+                SlotMap.of(
+                        configuration,
+                        view.members().stream()
+                                .map(
+                                        member ->
+                                                new SlotMap.Candidate(
+                                                        member.name(), member.availabilityZone()))
+                                .toList());
+        decide();
+    }
+
+    void suspect(Set<String> hosts) {
+        if (!hosts.equals(suspected)) {
+            suspected = Set.copyOf(hosts);
+            decide();
+        }
+    }
+
+    Set<SlotKey> owned() {
+        return owned;
+    }
+
+    /** Returns the suspected hosts whose slots this host owns in their place. */
+    Set<String> predecessors() {
+        return predecessors;
+    }
+
+    /** Finds the first host in the order of a slot that is neither suspected nor this one. */
+    Optional<String> otherOwner(SlotKey slot) {
+        return map.home(slot)
+                .filter(this::isOther)
+                .or(() -> map.successors(slot).stream().filter(this::isOther).findFirst());
+    }
+
+    private boolean isOther(String host) {
+        return !host.equals(self) && !suspected.contains(host);
+    }
+
+    private void decide() {
+        Set<SlotKey> nextOwned = new HashSet<>();
+        Set<String> nextPredecessors = new HashSet<>();
+        for (SlotKey slot : map.slots()) {
+            String home = map.home(slot).orElseThrow();
+            if (home.equals(self)) {
+                nextOwned.add(slot);
+            } else if (suspected.contains(home)) {
+                List<String> before = before(map.successors(slot));
+                if (suspected.containsAll(before)) {
+                    nextOwned.add(slot);
+                    nextPredecessors.add(home);
+                    nextPredecessors.addAll(before);
+                }
+            }
+        }
+        owned = Set.copyOf(nextOwned);
+        predecessors = Set.copyOf(nextPredecessors);
+    }
+
+    private List<String> before(List<String> successors) {
+        int position = successors.indexOf(self);
+        return position < 0 ? successors : successors.subList(0, position);
+    }
+}
