--- /dev/null
+++ b/library/src/main/java/org/siskinramp/ticket/Ticket.java
@@ -0,0 +1,51 @@
+package org.siskinramp.ticket;
+
+import java.util.List;
+import org.siskinramp.configuration.BackendServer;
+import org.siskinramp.configuration.Place;
+import org.siskinramp.configuration.Service;
+import org.siskinramp.result.ResultException;
+
+/**
+ * Holds a change ticket. It carries the whole new state of every object that it touches.
+ *
+ * @param number the number, one or more
+ * @param services the services
+ * @param backendServers the backend servers
+ * @param availabilityZones the availability zones
+ * @param hosts the hosts
+ */
+public record Ticket(
+        long number,
+        List<Service> services,
+        List<BackendServer> backendServers,
+        List<Place> availabilityZones,
+        List<Place> hosts) {
+
+    /**
+     * Copies the lists so that the ticket cannot change.
+     *
+     * @param number the number
+     * @param services the services
+     * @param backendServers the backend servers
+     * @param availabilityZones the availability zones
+     * @param hosts the hosts
+     */
+    public Ticket {
+        services = List.copyOf(services);
+        backendServers = List.copyOf(backendServers);
+        availabilityZones = List.copyOf(availabilityZones);
+        hosts = List.copyOf(hosts);
+    }
+
+    /**
+     * Reads a ticket from JSON and checks all that can be checked without the configuration.
+     *
+     * @param json the ticket as JSON text
+     * @return the ticket
+     * @throws ResultException with {@code TICKET_INVALID} and all faults, each with its JSON path
+     */
+    public static Ticket parse(String json) {
+        return TicketParser.parse(json);
+    }
+}
