Add the HTTP transports: platform, backend servers, callers

Cause: the daemon had no way to reach the platform or backend servers, and took no requests. The decisions need to know of each failure whether the request certainly never left.

Ruled out: the pool of Jetty's client, since it opens connections ahead of need, fails queued requests together and cannot tell a request that was never written from one that was; here each exchange has its own unpooled Jetty connection and one atomic step from unsent to sent, right after the permission is asked in the headers listener. Retrying a broken reused connection was ruled out also for idempotent requests: the routing has the retry budget.

Change: package exchange (connection pool, exchange, certain/uncertain failures), HttpPlatform, JettyBackendServerLink, CallerServer. An answer without Request-Id counts as crossed, and one whose end is not marked by a length or chunks as incomplete.

One caller test raced with the count of open requests at limit 1; it waits for the count now.

--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/backend/BackendServerLinkOptions.java
@@ -0,0 +1,137 @@
+package org.siskinramp.daemon.backend;
+
+import java.util.Objects;
+import org.siskinramp.daemon.exchange.ExchangeOptions;
+
+/** Holds the limits of the link to backend servers. */
+public final class BackendServerLinkOptions {
+
+    private final String hostName;
+    private final String incarnation;
+    private final long probeTimeoutMilliseconds;
+    private final long idempotentIdleLimitMilliseconds;
+    private final long nonIdempotentIdleLimitMilliseconds;
+    private final ExchangeOptions exchange;
+
+    private BackendServerLinkOptions(Builder builder) {
+        hostName = Objects.requireNonNull(builder.hostName, "hostName");
+        incarnation = Objects.requireNonNull(builder.incarnation, "incarnation");
+        probeTimeoutMilliseconds = builder.probeTimeoutMilliseconds;
+        idempotentIdleLimitMilliseconds = builder.idempotentIdleLimitMilliseconds;
+        nonIdempotentIdleLimitMilliseconds = builder.nonIdempotentIdleLimitMilliseconds;
+        exchange = Objects.requireNonNull(builder.exchange, "exchange");
+    }
+
+    /**
+     * Starts with limits that suit most uses.
+     *
+     * @return a builder, which needs the host name and the incarnation
+     */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    String attemptName(long number) {
+        return hostName + "/" + incarnation + "/" + number;
+    }
+
+    long probeTimeoutMilliseconds() {
+        return probeTimeoutMilliseconds;
+    }
+
+    long idleLimitMilliseconds(boolean idempotent) {
+        return idempotent ? idempotentIdleLimitMilliseconds : nonIdempotentIdleLimitMilliseconds;
+    }
+
+    ExchangeOptions exchange() {
+        return exchange;
+    }
+
+    /** Collects the limits. */
+    public static final class Builder {
+
+        private String hostName;
+        private String incarnation;
+        private long probeTimeoutMilliseconds = 250;
+        private long idempotentIdleLimitMilliseconds = 5000;
+        private long nonIdempotentIdleLimitMilliseconds = 2000;
+        private ExchangeOptions exchange = ExchangeOptions.builder().build();
+
+        private Builder() {}
+
+        /**
+         * Sets the name of this entry host.
+         *
+         * @param value the name
+         * @return this builder
+         */
+        public Builder hostName(String value) {
+            hostName = value;
+            return this;
+        }
+
+        /**
+         * Sets the identifier of this start of the entry host.
+         *
+         * @param value the incarnation
+         * @return this builder
+         */
+        public Builder incarnation(String value) {
+            incarnation = value;
+            return this;
+        }
+
+        /**
+         * Sets how long a probe may take.
+         *
+         * @param value milliseconds
+         * @return this builder
+         */
+        public Builder probeTimeoutMilliseconds(long value) {
+            probeTimeoutMilliseconds = value;
+            return this;
+        }
+
+        /**
+         * Sets how long a connection may have been idle to be used for idempotent requests.
+         *
+         * @param value milliseconds
+         * @return this builder
+         */
+        public Builder idempotentIdleLimitMilliseconds(long value) {
+            idempotentIdleLimitMilliseconds = value;
+            return this;
+        }
+
+        /**
+         * Sets how long a connection may have been idle to be used for non-idempotent requests.
+         *
+         * @param value milliseconds
+         * @return this builder
+         */
+        public Builder nonIdempotentIdleLimitMilliseconds(long value) {
+            nonIdempotentIdleLimitMilliseconds = value;
+            return this;
+        }
+
+        /**
+         * Sets the limits of each exchange.
+         *
+         * @param value the limits
+         * @return this builder
+         */
+        public Builder exchange(ExchangeOptions value) {
+            exchange = value;
+            return this;
+        }
+
+        /**
+         * Builds the limits.
+         *
+         * @return the limits
+         */
+        public BackendServerLinkOptions build() {
+            return new BackendServerLinkOptions(this);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/backend/package-info.java
@@ -0,0 +1,2 @@
+/** Sends attempts and probes to backend servers. */
+package org.siskinramp.daemon.backend;
--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/RequestHeadReader.java
@@ -0,0 +1,144 @@
+package org.siskinramp.daemon.caller;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.function.Supplier;
+import org.eclipse.jetty.http.HttpURI;
+import org.eclipse.jetty.server.Request;
+import org.siskinramp.configuration.Configuration;
+import org.siskinramp.configuration.Service;
+import org.siskinramp.daemon.exchange.ConnectionHeaders;
+import org.siskinramp.request.Header;
+import org.siskinramp.request.RequestKey;
+import org.siskinramp.request.RequestKind;
+import org.siskinramp.result.ResultCode;
+import org.siskinramp.result.ResultException;
+import org.siskinramp.time.Clock;
+
+/** Checks the headers of a request and finds its service and kind. */
+final class RequestHeadReader {
+
+    static final String REQUEST_ID = "Request-Id";
+
+    private static final String CALLER = "Caller";
+    private static final String REQUEST_DEADLINE = "Request-Deadline";
+    private static final int NAME_LIMIT_CHARACTERS = 200;
+    private static final Set<String> IDEMPOTENT_METHODS = Set.of("GET", "HEAD", "OPTIONS");
+    private static final Set<String> OWN_HEADERS =
+            Set.of("request-id", "caller", "request-deadline", "attempt");
+
+    private final Supplier<Configuration> configuration;
+    private final Clock clock;
+    private final long defaultDeadlineMilliseconds;
+
+    RequestHeadReader(
+            Supplier<Configuration> configuration, Clock clock, long defaultDeadlineMilliseconds) {
+        this.configuration = configuration;
+        this.clock = clock;
+        this.defaultDeadlineMilliseconds = defaultDeadlineMilliseconds;
+    }
+
+    /** Reads the headers; throws a {@link ResultException} if they are not acceptable. */
+    RequestHead read(Request request) {
+        long arrivedMilliseconds = clock.monotonicMilliseconds();
+        String path = request.getHttpURI().getCanonicalPath();
+        Service service = serviceOf(path);
+        RequestKind kind = kindOf(service, request.getMethod(), path);
+        String caller =
+                name(request, CALLER)
+                        .orElseThrow(() -> refusal(ResultCode.CALLER_MISSING, "path=" + path));
+        String requestId = requestId(request, kind);
+        return new RequestHead(
+                new RequestKey(caller, requestId),
+                service.name(),
+                kind,
+                request.getMethod(),
+                target(request.getHttpURI()),
+                headersToPassOn(request),
+                arrivedMilliseconds,
+                arrivedMilliseconds + timeLimitMilliseconds(request, service));
+    }
+
+    private Service serviceOf(String path) {
+        if (path == null) {
+            throw refusal(ResultCode.REQUEST_INVALID, "the target has no path");
+        }
+        return configuration
+                .get()
+                .serviceOfPath(path)
+                .orElseThrow(() -> refusal(ResultCode.SERVICE_UNKNOWN, "path=" + path));
+    }
+
+    private static RequestKind kindOf(Service service, String method, String path) {
+        return service.kindOf(method, path)
+                .orElseGet(
+                        () ->
+                                IDEMPOTENT_METHODS.contains(method)
+                                        ? new RequestKind("read", method, path, true, 1)
+                                        : new RequestKind("write", method, path, false, 1));
+    }
+
+    private static String requestId(Request request, RequestKind kind) {
+        Optional<String> given = name(request, REQUEST_ID);
+        if (given.isEmpty() && !kind.idempotent()) {
+            throw refusal(ResultCode.REQUEST_ID_MISSING, "kind=" + kind.name());
+        }
+        return given.orElseGet(() -> UUID.randomUUID().toString());
+    }
+
+    private static Optional<String> name(Request request, String header) {
+        List<String> values = request.getHeaders().getValuesList(header);
+        if (values.isEmpty()) {
+            return Optional.empty();
+        }
+        if (values.size() > 1 || !isName(values.get(0))) {
+            throw refusal(
+                    ResultCode.REQUEST_INVALID,
+                    header + " must be one to 200 visible characters without a slash");
+        }
+        return Optional.of(values.get(0));
+    }
+
+    private static boolean isName(String value) {
+        return !value.isEmpty()
+                && value.length() <= NAME_LIMIT_CHARACTERS
+                && value.chars().allMatch(c -> c > ' ' && c < 127 && c != '/');
+    }
+
+    private long timeLimitMilliseconds(Request request, Service service) {
+        List<String> values = request.getHeaders().getValuesList(REQUEST_DEADLINE);
+        long wanted =
+                values.isEmpty() ? defaultDeadlineMilliseconds : parseMilliseconds(values.get(0));
+        return Math.min(wanted, service.timeLimitMilliseconds());
+    }
+
+    private static long parseMilliseconds(String text) {
+        try {
+            long milliseconds = Long.parseLong(text.strip());
+            if (milliseconds > 0) {
+                return milliseconds;
+            }
+        } catch (NumberFormatException malformed) {
+            throw refusal(ResultCode.REQUEST_INVALID, REQUEST_DEADLINE + "=" + text);
+        }
+        throw refusal(ResultCode.REQUEST_INVALID, REQUEST_DEADLINE + "=" + text);
+    }
+
+    private static String target(HttpURI uri) {
+        return uri.getPathQuery();
+    }
+
+    private static List<Header> headersToPassOn(Request request) {
+        List<Header> headers =
+                request.getHeaders().stream()
+                        .map(field -> new Header(field.getName(), field.getValue()))
+                        .toList();
+        return ConnectionHeaders.without(headers, OWN_HEADERS);
+    }
+
+    private static ResultException refusal(ResultCode code, String detail) {
+        return new ResultException(code, detail);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/ExchangeCall.java
@@ -0,0 +1,17 @@
+package org.siskinramp.daemon.exchange;
+
+import java.util.concurrent.CompletableFuture;
+
+/** Follows an exchange that was started. */
+public interface ExchangeCall {
+
+    /**
+     * Returns the answer to come.
+     *
+     * @return the whole answer; fails with an {@link org.siskinramp.attempt.AttemptException}
+     */
+    CompletableFuture<ExchangeAnswer> answer();
+
+    /** Closes the connection and fails the answer, unless the exchange has ended. */
+    void cancel();
+}
--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/platform/BodyReader.java
@@ -0,0 +1,10 @@
+package org.siskinramp.daemon.platform;
+
+import java.io.IOException;
+
+/** Reads the body of an answer. */
+@FunctionalInterface
+interface BodyReader<T> {
+
+    T read(byte[] body) throws IOException;
+}
--- /dev/null
+++ b/daemon/src/test/java/org/siskinramp/daemon/backend/JettyBackendServerLinkTest.java
@@ -0,0 +1,274 @@
+package org.siskinramp.daemon.backend;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.siskinramp.daemon.exchange.ScriptedServer.CLOSE;
+import static org.siskinramp.daemon.exchange.ScriptedServer.SILENCE;
+import static org.siskinramp.daemon.exchange.ScriptedServer.reply;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.siskinramp.attempt.Attempt;
+import org.siskinramp.attempt.AttemptAnswer;
+import org.siskinramp.attempt.AttemptException;
+import org.siskinramp.attempt.AttemptFailure;
+import org.siskinramp.attempt.LoadReport;
+import org.siskinramp.configuration.BackendServer;
+import org.siskinramp.configuration.ServiceState;
+import org.siskinramp.daemon.exchange.ExchangeOptions;
+import org.siskinramp.daemon.exchange.ManualClock;
+import org.siskinramp.daemon.exchange.ScriptedServer;
+import org.siskinramp.log.Counter;
+import org.siskinramp.request.Header;
+import org.siskinramp.request.Request;
+import org.siskinramp.request.RequestKey;
+import org.siskinramp.request.RequestKind;
+
+class JettyBackendServerLinkTest {
+
+    private static final String WHOLE =
+            reply(
+                    "200 OK",
+                    "body",
+                    "Request-Id: order-1",
+                    "Boot-Identity: b7",
+                    "Load: 3",
+                    "Connection: X-Hop",
+                    "X-Hop: 1",
+                    "X-Kept: 2",
+                    "Not-Run: true");
+
+    private final ManualClock clock = new ManualClock();
+    private final AtomicLong silent = new AtomicLong();
+    private final JettyBackendServerLink link = newLink();
+    private ScriptedServer server;
+
+    private JettyBackendServerLink newLink() {
+        JettyBackendServerLink created =
+                new JettyBackendServerLink(
+                        BackendServerLinkOptions.builder()
+                                .hostName("entry-1")
+                                .incarnation("i9")
+                                .exchange(ExchangeOptions.builder().answerLimitBytes(100).build())
+                                .build(),
+                        clock,
+                        (delay, task) ->
+                                CompletableFuture.delayedExecutor(delay, TimeUnit.MILLISECONDS)
+                                        .execute(task),
+                        event -> {},
+                        (counter, amount) -> {
+                            if (counter == Counter.SILENT_CONNECTIONS) {
+                                silent.addAndGet(amount);
+                            }
+                        });
+        created.start();
+        return created;
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        link.stop();
+        if (server != null) {
+            server.close();
+        }
+    }
+
+    @Test
+    void relaysTheWholeAnswerWithoutHeadersOfTheConnection() throws Exception {
+        serve(WHOLE);
+        AttemptAnswer answer = dispatch(1).get(5, TimeUnit.SECONDS);
+        assertEquals(200, answer.answer().status());
+        assertEquals("body", new String(answer.answer().body(), StandardCharsets.UTF_8));
+        assertEquals(List.of(new Header("X-Kept", "2")), answer.answer().headers());
+        assertEquals(new LoadReport("b7", 3, false), answer.loadReport());
+    }
+
+    @Test
+    void sendsTheHeadersOfTheContractAndNoneOfTheConnection() throws Exception {
+        serve(WHOLE);
+        dispatch(1).get(5, TimeUnit.SECONDS);
+        String sent = server.requests().get(0);
+        assertTrue(sent.startsWith("POST /dispatch/orders?a=%20b HTTP/1.1\r\n"), sent);
+        assertTrue(sent.contains("\r\nRequest-Id: order-1\r\n"), sent);
+        assertTrue(sent.contains("\r\nCaller: crew-7\r\n"), sent);
+        assertTrue(sent.contains("\r\nAttempt: entry-1/i9/1\r\n"), sent);
+        assertTrue(sent.contains("\r\nRequest-Deadline: 500\r\n"), sent);
+        assertTrue(sent.contains("\r\nX-Kept: 1\r\n"), sent);
+        assertFalse(sent.contains("Keep-Alive"), sent);
+        assertTrue(sent.endsWith("\r\n\r\nvalve 9"), sent);
+    }
+
+    @Test
+    void sendsNothingIfThePermissionLapsesAtTheLastMoment() throws Exception {
+        serve(WHOLE);
+        AtomicInteger asked = new AtomicInteger();
+        assertEquals(
+                AttemptFailure.NOT_PERMITTED,
+                failure(link.dispatch(attempt(1, false, () -> asked.incrementAndGet() == 1))));
+        assertEquals(2, asked.get());
+        dispatch(2).get(5, TimeUnit.SECONDS);
+        assertEquals(1, server.requests().size());
+    }
+
+    @Test
+    void reportsThatNobodyListens() throws Exception {
+        serve(WHOLE);
+        server.close();
+        assertEquals(AttemptFailure.CONNECTION_REFUSED, failure(dispatch(1)));
+    }
+
+    @Test
+    void reportsWhatTheServerDidNotRun() throws Exception {
+        serve(reply("503 Busy", "", "Request-Id: order-1", "Not-Run: shed", "Load: 4"));
+        AttemptException failure = exception(dispatch(1));
+        assertEquals(AttemptFailure.SHED, failure.failure());
+        assertEquals(4, failure.loadReport().requestsInProgress());
+    }
+
+    @Test
+    void neverPassesOnAnAnswerThatNamesAnotherRequest() throws Exception {
+        serve(WHOLE.replace("order-1", "order-2"));
+        assertEquals(AttemptFailure.ANSWER_CROSSED, failure(dispatch(1)));
+        assertEquals(AttemptFailure.ANSWER_CROSSED, failure(dispatch(2)));
+        assertEquals(2, server.connections());
+    }
+
+    @Test
+    void reportsAShortBody() throws Exception {
+        serve(WHOLE.replace("body", "bo") + CLOSE);
+        assertEquals(AttemptFailure.ANSWER_INCOMPLETE, failure(dispatch(1)));
+    }
+
+    @Test
+    void reportsABodyWhoseEndIsNotMarked() throws Exception {
+        serve(WHOLE.replace("Content-Length: 4\r\n", "") + CLOSE);
+        assertEquals(AttemptFailure.ANSWER_INCOMPLETE, failure(dispatch(1)));
+    }
+
+    @Test
+    void reportsABrokenConnection() throws Exception {
+        serve(CLOSE);
+        assertEquals(AttemptFailure.CONNECTION_BROKEN, failure(dispatch(1)));
+        assertEquals(1, server.requests().size());
+    }
+
+    @Test
+    void reportsAnAnswerPastTheLimit() throws Exception {
+        serve(WHOLE.replace("Content-Length: 4", "Content-Length: 101"));
+        assertEquals(AttemptFailure.ANSWER_TOO_LARGE, failure(dispatch(1)));
+    }
+
+    @Test
+    void closesTheConnectionAtTheDeadline() throws Exception {
+        serve(SILENCE);
+        assertEquals(AttemptFailure.TIMED_OUT, failure(dispatch(1)));
+        awaitEnded(1);
+        assertEquals(0, silent.get());
+    }
+
+    @Test
+    void closesTheConnectionOfACancelledAttempt() throws Exception {
+        serve(SILENCE);
+        CompletableFuture<AttemptAnswer> answer = dispatch(1);
+        while (server.requests().isEmpty()) {
+            Thread.sleep(5);
+        }
+        link.cancel(1);
+        assertEquals(AttemptFailure.CANCELLED, failure(answer));
+        awaitEnded(1);
+    }
+
+    @Test
+    void closesConnectionsAsOldAsOneThatWentSilent() throws Exception {
+        AtomicInteger answers = new AtomicInteger();
+        server = new ScriptedServer(request -> answers.incrementAndGet() < 3 ? WHOLE : SILENCE);
+        CompletableFuture<AttemptAnswer> first = dispatch(1);
+        dispatch(2).get(5, TimeUnit.SECONDS);
+        first.get(5, TimeUnit.SECONDS);
+        int opened = server.connections();
+        assertEquals(AttemptFailure.TIMED_OUT, failure(dispatch(3)));
+        awaitEnded(opened);
+        assertEquals(opened, silent.get());
+    }
+
+    @Test
+    void usesNoOldIdleConnectionForNonIdempotentRequests() throws Exception {
+        serve(WHOLE);
+        dispatch(1).get(5, TimeUnit.SECONDS);
+        dispatch(2).get(5, TimeUnit.SECONDS);
+        assertEquals(1, server.connections());
+        clock.advance(2001);
+        link.dispatch(attempt(3, true, () -> true)).get(5, TimeUnit.SECONDS);
+        assertEquals(1, server.connections());
+        clock.advance(2001);
+        dispatch(4).get(5, TimeUnit.SECONDS);
+        assertEquals(2, server.connections());
+    }
+
+    @Test
+    void readsTheLoadReportOfAProbe() throws Exception {
+        serve(reply("200 OK", "", "Boot-Identity: b8", "Load: 2", "Leaving: true"));
+        assertEquals(
+                new LoadReport("b8", 2, true),
+                link.probe(backendServer()).get(5, TimeUnit.SECONDS));
+        assertTrue(server.requests().get(0).startsWith("GET /-/load HTTP/1.1\r\n"));
+    }
+
+    private void serve(String reply) throws IOException {
+        server = new ScriptedServer(request -> reply);
+    }
+
+    private CompletableFuture<AttemptAnswer> dispatch(long number) {
+        return link.dispatch(attempt(number, false, () -> true));
+    }
+
+    private Attempt attempt(long number, boolean idempotent, BooleanSupplier permission) {
+        long now = clock.monotonicMilliseconds();
+        Request request =
+                Request.builder()
+                        .key(new RequestKey("crew-7", "order-1"))
+                        .service("dispatch")
+                        .kind(new RequestKind("order", "POST", "/dispatch", idempotent, 1))
+                        .method("POST")
+                        .target("/dispatch/orders?a=%20b")
+                        .headers(List.of(new Header("X-Kept", "1"), new Header("Keep-Alive", "5")))
+                        .body("valve 9".getBytes(StandardCharsets.UTF_8))
+                        .contentHash("00")
+                        .build();
+        return new Attempt(number, request, backendServer(), now + 500, false, permission);
+    }
+
+    private BackendServer backendServer() {
+        return new BackendServer(
+                "d1", "dispatch", "host-1", "almaty-1", server.address(), 4, 1, ServiceState.IN);
+    }
+
+    private void awaitEnded(int connections) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        while (server.ended() < connections && System.nanoTime() < end) {
+            Thread.sleep(5);
+        }
+        assertEquals(connections, server.ended());
+    }
+
+    private static AttemptFailure failure(CompletableFuture<?> future) {
+        return exception(future).failure();
+    }
+
+    private static AttemptException exception(CompletableFuture<?> future) {
+        ExecutionException failure =
+                assertThrows(ExecutionException.class, () -> future.get(5, TimeUnit.SECONDS));
+        return AttemptException.from(failure.getCause());
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/siskinramp/daemon/caller/CallerServerTest.java
@@ -0,0 +1,260 @@
+package org.siskinramp.daemon.caller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.siskinramp.configuration.Configuration;
+import org.siskinramp.configuration.Service;
+import org.siskinramp.configuration.ServiceState;
+import org.siskinramp.daemon.exchange.ManualClock;
+import org.siskinramp.request.Answer;
+import org.siskinramp.request.Header;
+import org.siskinramp.request.Request;
+import org.siskinramp.request.RequestKey;
+import org.siskinramp.request.RequestKind;
+import org.siskinramp.result.ResultCode;
+import org.siskinramp.result.ResultException;
+
+class CallerServerTest {
+
+    private static final Answer WHOLE =
+            new Answer(
+                    ResultCode.ANSWERED,
+                    201,
+                    List.of(new Header("X-Kept", "1")),
+                    "done".getBytes(StandardCharsets.UTF_8));
+    private static final Configuration CONFIGURATION =
+            Configuration.empty().toBuilder(1)
+                    .service(
+                            new Service(
+                                    "dispatch",
+                                    "/dispatch",
+                                    2000,
+                                    10,
+                                    List.of(
+                                            new RequestKind(
+                                                    "order", "POST", "/dispatch/orders", false, 5)),
+                                    ServiceState.IN))
+                    .build();
+
+    private final AtomicReference<Request> seen = new AtomicReference<>();
+    private final CompletableFuture<Answer> answer = new CompletableFuture<>();
+    private final ManualClock clock = new ManualClock();
+    private final CallerServer server =
+            new CallerServer(
+                    request -> {
+                        seen.set(request);
+                        return answer;
+                    },
+                    () -> CONFIGURATION,
+                    clock,
+                    event -> {},
+                    (counter, amount) -> {},
+                    CallerServerOptions.builder()
+                            .headerLimitBytes(2000)
+                            .bodyLimitBytes(50)
+                            .requestLimit(1)
+                            .idleTimeoutMilliseconds(300)
+                            .stopLimitMilliseconds(5000)
+                            .build());
+
+    CallerServerTest() {
+        server.start();
+    }
+
+    @AfterEach
+    void stop() {
+        answer.complete(WHOLE);
+        server.stop();
+    }
+
+    @Test
+    void relaysTheAnswerOfAWholeRequest() throws Exception {
+        answer.complete(WHOLE);
+        String received =
+                ask(
+                        post(
+                                "valve 9",
+                                "Caller: crew-7",
+                                "Request-Id: order-1",
+                                "Request-Deadline: 900",
+                                "X-Kept: 2",
+                                "Content-Length: 7"));
+        assertTrue(received.startsWith("HTTP/1.1 201 "), received);
+        assertTrue(received.contains("\r\nResult-Code: 100\r\n"), received);
+        assertTrue(received.contains("\r\nRequest-Id: order-1\r\n"), received);
+        assertTrue(received.contains("\r\nX-Kept: 1\r\n"), received);
+        assertTrue(received.endsWith("\r\n\r\ndone"), received);
+        Request request = seen.get();
+        assertEquals(new RequestKey("crew-7", "order-1"), request.key());
+        assertEquals("order", request.kind().name());
+        assertEquals("/dispatch/orders?a=%20b", request.target());
+        assertEquals(
+                List.of(new Header("Host", "h"), new Header("X-Kept", "2")), request.headers());
+        assertEquals("valve 9", new String(request.body(), StandardCharsets.UTF_8));
+        assertEquals(clock.monotonicMilliseconds() + 900, request.deadlineMilliseconds());
+        assertEquals(
+                "060d0f1f47601de5f79e29465f968cd1faba45ccfadccfbee765882e94cfc36b",
+                request.contentHash());
+    }
+
+    @Test
+    void makesUpAnIdentifierForIdempotentRequestsAndCapsTheDeadline() throws Exception {
+        answer.complete(WHOLE.asReplay());
+        String received = ask(get("/dispatch/plan", "Caller: crew-7\r\n"));
+        assertTrue(received.contains("\r\nResult-Code: 101\r\n"), received);
+        assertEquals(36, seen.get().key().requestId().length());
+        assertEquals("read", seen.get().kind().name());
+        assertEquals(clock.monotonicMilliseconds() + 2000, seen.get().deadlineMilliseconds());
+    }
+
+    @Test
+    void refusesBadRequestsWithTheirResultCodes() throws Exception {
+        assertRefused(201, "404", get("/unknown", "Caller: crew-7\r\n"));
+        assertRefused(216, "400", get("/dispatch/plan", ""));
+        assertRefused(211, "400", get("/dispatch/plan", "Caller: crew/7\r\n"));
+        assertRefused(211, "400", get("/dispatch/plan", "Caller: c\r\nRequest-Deadline: 0\r\n"));
+        assertRefused(
+                211,
+                "400",
+                get("/dispatch/plan", "Caller: c\r\nRequest-Id: " + "x".repeat(201) + "\r\n"));
+        assertRefused(212, "400", post("", "Caller: c", "Content-Length: 0"));
+        assertRefused(208, "431", get("/dispatch/plan", "X: " + "x".repeat(3000) + "\r\n"));
+        assertRefused(211, "400", "nonsense\r\n\r\n");
+    }
+
+    @Test
+    void refusesABodyThatIsTooLargeOrStalls() throws Exception {
+        String[] known = {"Caller: c", "Request-Id: 1", "Content-Length: 51"};
+        assertRefused(209, "413", post("x".repeat(51), known));
+        known[2] = "Transfer-Encoding: chunked";
+        assertRefused(209, "413", post("33\r\n" + "x".repeat(51) + "\r\n", known));
+        known[2] = "Content-Length: 5";
+        assertRefused(218, "408", post("ab", known));
+    }
+
+    @Test
+    void givesTheResultCodeAndAdviceOfAFailure() throws Exception {
+        answer.completeExceptionally(
+                new ResultException(ResultCode.QUEUE_FULL, "service=dispatch", 1001));
+        String received = ask(get("/dispatch/plan", "Caller: c\r\nRequest-Id: r-1\r\n"));
+        assertTrue(received.startsWith("HTTP/1.1 503 "), received);
+        assertTrue(received.contains("\r\nNot-Run: true\r\n"), received);
+        assertTrue(received.contains("\r\nRetry-After: 2\r\n"), received);
+        assertTrue(received.contains("\r\nRetry-After-Milliseconds: 1001\r\n"), received);
+        assertTrue(
+                received.endsWith(
+                        "{\"code\":202,\"name\":\"QUEUE_FULL\",\"message\":\"too many requests are"
+                                + " waiting for this service: service=dispatch\","
+                                + "\"not_run\":true,\"request_id\":\"r-1\"}"),
+                received);
+    }
+
+    @Test
+    void doesNotPromiseThatAnUnknownOutcomeDidNotRun() throws Exception {
+        answer.completeExceptionally(new ResultException(ResultCode.OUTCOME_UNKNOWN, ""));
+        String received = ask(get("/dispatch/plan", "Caller: c\r\n"));
+        assertTrue(received.contains("\r\nResult-Code: 301\r\n"), received);
+        assertTrue(!received.contains("Not-Run"), received);
+    }
+
+    @Test
+    void refusesRequestsPastTheLimitAtOnceAndWaitsLongForAnswers() throws Exception {
+        CompletableFuture<String> first = askLater(get("/dispatch/plan", "Caller: c\r\n"));
+        awaitOpenRequest();
+        assertRefusedAtOnce(210, "503", get("/dispatch/plan", "Caller: c\r\n"));
+        Thread.sleep(700);
+        answer.complete(WHOLE);
+        assertTrue(first.get(5, TimeUnit.SECONDS).endsWith("done"));
+    }
+
+    @Test
+    void letsRequestsInProgressEndWhenItStops() throws Exception {
+        CompletableFuture<String> first = askLater(get("/dispatch/plan", "Caller: c\r\n"));
+        awaitOpenRequest();
+        server.refuseNewRequests();
+        assertRefusedAtOnce(207, "503", get("/dispatch/plan", "Caller: c\r\n"));
+        CompletableFuture<Void> stopped = CompletableFuture.runAsync(server::stop);
+        answer.complete(WHOLE);
+        assertTrue(first.get(5, TimeUnit.SECONDS).endsWith("done"));
+        stopped.get(5, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void outlivesACallerThatGoesAway() throws Exception {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
+            socket.getOutputStream().write(bytes(get("/dispatch/plan", "Caller: c\r\n")));
+            awaitOpenRequest();
+        }
+        answer.complete(WHOLE);
+        awaitNoOpenRequest();
+        assertTrue(ask(get("/dispatch/plan", "Caller: c\r\n")).endsWith("done"));
+    }
+
+    private void awaitOpenRequest() throws InterruptedException {
+        while (seen.get() == null) {
+            Thread.sleep(5);
+        }
+    }
+
+    private void awaitNoOpenRequest() throws InterruptedException {
+        while (server.openRequests() > 0) {
+            Thread.sleep(5);
+        }
+    }
+
+    private void assertRefused(int code, String status, String request) throws Exception {
+        awaitNoOpenRequest();
+        assertRefusedAtOnce(code, status, request);
+    }
+
+    private void assertRefusedAtOnce(int code, String status, String request) throws Exception {
+        String received = ask(request);
+        assertTrue(received.startsWith("HTTP/1.1 " + status + " "), received);
+        assertTrue(received.contains("\r\nResult-Code: " + code + "\r\n"), received);
+        assertTrue(received.contains("\r\nNot-Run: true\r\n"), received);
+        assertTrue(received.contains("{\"code\":" + code + ","), received);
+    }
+
+    private static String get(String target, String headers) {
+        return "GET %s HTTP/1.1\r\nHost: h\r\n%sConnection: close\r\n\r\n"
+                .formatted(target, headers);
+    }
+
+    private static String post(String body, String... headers) {
+        return "POST /dispatch/orders?a=%%20b HTTP/1.1\r\nHost: h\r\n%s\r\nConnection: close\r\n\r\n%s"
+                .formatted(String.join("\r\n", headers), body);
+    }
+
+    private CompletableFuture<String> askLater(String request) {
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    try {
+                        return ask(request);
+                    } catch (Exception failure) {
+                        throw new IllegalStateException(failure);
+                    }
+                });
+    }
+
+    private String ask(String request) throws Exception {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
+            socket.setSoTimeout(5000);
+            socket.getOutputStream().write(bytes(request));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/siskinramp/daemon/exchange/ScriptedServer.java
@@ -0,0 +1,131 @@
+package org.siskinramp.daemon.exchange;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
+
+/** Answers each request with literal bytes, nothing, or the end of the connection. */
+public final class ScriptedServer implements AutoCloseable {
+
+    /** Makes the server stay silent. */
+    public static final String SILENCE = "";
+
+    /** Makes the server close the connection; may follow an answer. */
+    public static final String CLOSE = "\0";
+
+    /** Writes out an answer. */
+    public static String reply(String status, String body, String... headers) {
+        String lines = String.join("\r\n", headers);
+        return "HTTP/1.1 %s\r\n%s%sContent-Length: %d\r\n\r\n%s"
+                .formatted(status, lines, lines.isEmpty() ? "" : "\r\n", body.length(), body);
+    }
+
+    private final ServerSocket listener;
+    private final UnaryOperator<String> script;
+    private final List<String> requests = new CopyOnWriteArrayList<>();
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+    private final AtomicInteger ended = new AtomicInteger();
+
+    /** Starts to listen on a free port. */
+    public ScriptedServer(UnaryOperator<String> script) throws IOException {
+        this.script = script;
+        this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Thread thread = new Thread(this::accept, "scripted-server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Returns the address as {@code ip:port}. */
+    public String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    /** Returns the requests that came whole. */
+    public List<String> requests() {
+        return List.copyOf(requests);
+    }
+
+    /** Returns how many connections were opened. */
+    public int connections() {
+        return sockets.size();
+    }
+
+    /** Returns how many connections the other side closed. */
+    public int ended() {
+        return ended.get();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = listener.accept();
+                sockets.add(socket);
+                Thread thread = new Thread(() -> serve(socket), "scripted-connection");
+                thread.setDaemon(true);
+                thread.start();
+            }
+        } catch (IOException closed) {
+            // The test has ended.
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            String request = readRequest(socket.getInputStream());
+            while (request != null) {
+                requests.add(request);
+                String reply = script.apply(request);
+                int end = reply.indexOf(CLOSE);
+                String text = end < 0 ? reply : reply.substring(0, end);
+                socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+                socket.getOutputStream().flush();
+                if (end >= 0) {
+                    return;
+                }
+                request = readRequest(socket.getInputStream());
+            }
+            ended.incrementAndGet();
+        } catch (IOException gone) {
+            ended.incrementAndGet();
+        }
+    }
+
+    private static String readRequest(InputStream input) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        String text = "";
+        while (!text.contains("\r\n\r\n")
+                || bytes.size() < text.indexOf("\r\n\r\n") + 4 + bodyLength(text)) {
+            int next = input.read();
+            if (next < 0) {
+                return null;
+            }
+            bytes.write(next);
+            text = bytes.toString(StandardCharsets.ISO_8859_1);
+        }
+        return text;
+    }
+
+    private static int bodyLength(String text) {
+        return text.lines()
+                .filter(line -> line.startsWith("Content-Length: "))
+                .mapToInt(line -> Integer.parseInt(line.substring(16)))
+                .findFirst()
+                .orElse(0);
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+}
