Put the parts of an entry host behind one front door

Cause: the daemon needs one object that takes requests and peer messages in, and the order of claim, run and settlement must stand in one place. Change: EntryHost with its builder; words on warmth travel in heartbeats, dated by the receiver's own echoed time, and only exceptions are named, so that their size does not grow with the number of warm servers. Ruled out: dating words by their arrival, since a delayed heartbeat would count as fresh.

--- /dev/null
+++ b/library/src/main/java/org/siskinramp/host/EntryHostParts.java
@@ -0,0 +1,148 @@
+package org.siskinramp.host;
+
+import java.util.function.Consumer;
+import org.siskinramp.configuration.Configuration;
+import org.siskinramp.configuration.Service;
+import org.siskinramp.ledger.ClaimLedger;
+import org.siskinramp.membership.Membership;
+import org.siskinramp.membership.ViewFollower;
+import org.siskinramp.platform.Platform;
+import org.siskinramp.platform.TimedPlatform;
+import org.siskinramp.routing.MessageBudget;
+import org.siskinramp.routing.RequestSuspicion;
+import org.siskinramp.routing.RoutingEnvironment;
+import org.siskinramp.routing.ServiceRouter;
+import org.siskinramp.routing.ServiceRouters;
+import org.siskinramp.ticket.ConfigurationFollower;
+import org.siskinramp.ticket.FollowerOptions;
+import org.siskinramp.ticket.Tickets;
+
+/** Makes the parts of an entry host and connects them. */
+final class EntryHostParts {
+
+    private static final long PLATFORM_LIMIT_MILLISECONDS = 1_000;
+
+    private final EntryHostBuilder builder;
+    private final Platform platform;
+    private final ServiceRouters routers;
+    private final WarmthWords words;
+    private final Membership membership;
+    private final ViewFollower viewFollower;
+    private final Tickets tickets;
+    private final ConfigurationFollower configurationFollower;
+    private final ClaimLedger ledger;
+    private final MessageBudget loanMessages;
+
+    EntryHostParts(EntryHostBuilder builder, Consumer<Configuration> configurationListener) {
+        this.builder = builder;
+        platform =
+                new TimedPlatform(
+                        builder.platform(),
+                        builder.scheduler(),
+                        builder.counters(),
+                        PLATFORM_LIMIT_MILLISECONDS);
+        loanMessages =
+                new MessageBudget(
+                        builder.clock(), builder.options().routing().loanMessagesPerSecond());
+        routers = new ServiceRouters(this::newRouter);
+        words = new WarmthWords(builder.identity(), builder.peerSender(), routers);
+        membership = newMembership();
+        words.connect(membership);
+        viewFollower = newViewFollower();
+        tickets = new Tickets(platform, builder.clock(), builder.scheduler(), builder.newRandom());
+        configurationFollower =
+                new ConfigurationFollower(
+                        tickets,
+                        builder.scheduler(),
+                        builder.newRandom(),
+                        builder.eventLog(),
+                        FollowerOptions.DEFAULT,
+                        configurationListener);
+        ledger = newLedger();
+    }
+
+    private Membership newMembership() {
+        return Membership.builder(builder.identity().name(), builder.identity().incarnation())
+                .options(builder.options().membership())
+                .clock(builder.clock())
+                .scheduler(builder.scheduler())
+                .sender(builder.peerSender())
+                .eventLog(builder.eventLog())
+                .contribution(words::contribution)
+                .holdingsListener(routers::hold)
+                .newerViewListener(version -> viewFollower().hint(version))
+                .newerConfigurationListener(version -> configurationFollower().notice(version))
+                .build();
+    }
+
+    private ViewFollower newViewFollower() {
+        return new ViewFollower(
+                builder.identity().name(),
+                membership,
+                platform,
+                builder.clock(),
+                builder.scheduler(),
+                builder.newRandom(),
+                builder.eventLog());
+    }
+
+    private ClaimLedger newLedger() {
+        return ClaimLedger.builder()
+                .platform(builder.platform())
+                .clock(builder.clock())
+                .scheduler(builder.scheduler())
+                .random(builder.newRandom())
+                .eventLog(builder.eventLog())
+                .counters(builder.counters())
+                .host(builder.identity().name(), builder.identity().incarnation())
+                .options(builder.options().ledger())
+                .build();
+    }
+
+    private ServiceRouter newRouter(Service service) {
+        RoutingEnvironment environment =
+                new RoutingEnvironment(
+                        builder.identity().name(),
+                        builder.identity().availabilityZone(),
+                        builder.clock(),
+                        builder.scheduler(),
+                        builder.backendServerLink(),
+                        builder.peerSender(),
+                        builder.eventLog(),
+                        builder.counters(),
+                        builder.newRandom(),
+                        membership,
+                        membership,
+                        RequestSuspicion.NONE);
+        return new ServiceRouter(
+                environment, builder.options().routing(), service, loanMessages, words);
+    }
+
+    ServiceRouters routers() {
+        return routers;
+    }
+
+    WarmthWords words() {
+        return words;
+    }
+
+    Membership membership() {
+        return membership;
+    }
+
+    ViewFollower viewFollower() {
+        return viewFollower;
+    }
+
+    Tickets tickets() {
+        return tickets;
+    }
+
+    ConfigurationFollower configurationFollower() {
+        return configurationFollower;
+    }
+
+    ClaimLedger ledger() {
+        return ledger;
+    }
+}
--- a/library/src/main/java/org/siskinramp/membership/Membership.java
+++ b/library/src/main/java/org/siskinramp/membership/Membership.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
@@ -18,7 +19,9 @@
 import org.siskinramp.peer.SlotRelease;
 import org.siskinramp.slot.SlotHoldings;
 import org.siskinramp.slot.SlotKey;
+import org.siskinramp.slot.SlotMap;
 import org.siskinramp.slot.SlotReleases;
+import org.siskinramp.slot.SlotRights;
 import org.siskinramp.time.Clock;
 import org.siskinramp.time.Scheduler;
 
@@ -33,7 +36,7 @@
  * membership.start();
  * }</pre>
  */
-public final class Membership implements SlotReleases {
+public final class Membership implements SlotReleases, SlotRights {
 
     private static final long NEVER = Long.MIN_VALUE / 4;
 
@@ -54,6 +57,7 @@
     private final SignOff signOff = new SignOff();
     private final List<Runnable> effects = new ArrayList<>();
     private long heartbeatDueAt = NEVER;
+    private volatile SlotMap slotMap = SlotMap.EMPTY;
     private volatile Rights rights = new Rights(SlotHoldings.NONE, NEVER);
 
     private Membership(MembershipBuilder builder) {
@@ -217,11 +221,7 @@
         return rights.holdings();
     }
 
-    /**
-     * Returns when this host's rights end if it hears nothing new.
-     *
-     * @return monotonic time in milliseconds, long past without authority
-     */
+    @Override
     public long authorityUntilMilliseconds() {
         return rights.usableUntil();
     }
@@ -235,13 +235,7 @@
         return clock.monotonicMilliseconds() < rights.usableUntil();
     }
 
-    /**
-     * Tells whether this host may start a request in a slot at this moment. Ask again right before
-     * the request goes out: both the slot and the time are then checked against one snapshot.
-     *
-     * @param slot the slot
-     * @return true if it is held and the authority has not ended
-     */
+    @Override
     public boolean isUsable(SlotKey slot) {
         Rights current = rights;
         return clock.monotonicMilliseconds() < current.usableUntil()
@@ -266,6 +260,16 @@
         return locked(() -> table.members().isSettled());
     }
 
+    /**
+     * Finds the home of a slot in the view and configuration that this host acts on.
+     *
+     * @param slot the slot
+     * @return the entry host's name, or empty if there is no such slot
+     */
+    public Optional<String> home(SlotKey slot) {
+        return slotMap.home(slot);
+    }
+
     /**
      * Returns the other members of the view.
      *
@@ -314,6 +318,7 @@
         SlotHoldings before = rights.holdings();
         SlotHoldings after = table.holdings();
         boolean isSame = before.equals(after);
+        slotMap = table.slotMap();
         rights = new Rights(isSame ? before : after, table.usableUntil());
         if (!isSame) {
             effects.add(() -> holdingsListener.accept(holdings()));
--- a/library/src/main/java/org/siskinramp/membership/MembershipTable.java
+++ b/library/src/main/java/org/siskinramp/membership/MembershipTable.java
@@ -14,6 +14,7 @@
 import org.siskinramp.peer.SlotRelease;
 import org.siskinramp.slot.SlotHoldings;
 import org.siskinramp.slot.SlotKey;
+import org.siskinramp.slot.SlotMap;
 
 /**
  * Holds the state of the membership and its rules. Every change is made between {@link #expire} and
@@ -51,6 +52,10 @@
         claims = new Claims(options, limits);
     }
 
+    SlotMap slotMap() {
+        return ownership.map();
+    }
+
     /** Ends every right whose time has passed, before anything new is taken into account. */
     void expire(long now) {
         authority.expire(now);
--- a/library/src/main/java/org/siskinramp/membership/Ownership.java
+++ b/library/src/main/java/org/siskinramp/membership/Ownership.java
@@ -45,6 +45,10 @@
         return owned;
     }
 
+    SlotMap map() {
+        return map;
+    }
+
     /** Returns the suspected hosts whose slots this host owns in their place. */
     Set<String> predecessors() {
         return predecessors;
