Read and check the settings of an entry host

Cause: an entry host learns its addresses and availability zone from its settings, and a fault there must be plain to operators before anything starts. Ruled out: stopping at the first fault; names in addresses, since hosts talk by IP numbers and a name service could stall the start; reporting keys as missing after malformed TOML, where they may only seem to be. Conclusion: the rest of the daemon can take checked settings as given.

--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsFile.java
@@ -0,0 +1,49 @@
+package org.siskinramp.daemon.settings;
+
+import java.io.IOException;
+import java.nio.charset.CharacterCodingException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.tomlj.Toml;
+
+/**
+ * Reads settings files.
+ *
+ * <pre>{@code
+ * Settings settings = SettingsFile.check(Path.of("settings.toml")).settings();
+ * }</pre>
+ */
+public final class SettingsFile {
+
+    private SettingsFile() {}
+
+    /**
+     * Reads a settings file and checks every key of it.
+     *
+     * @param file the file; relative paths in it start at its directory
+     * @return the settings, or all faults at once
+     */
+    public static SettingsReport check(Path file) {
+        String text;
+        try {
+            text = Files.readString(file);
+        } catch (CharacterCodingException failure) {
+            return unreadable(file, "is not UTF-8 text");
+        } catch (IOException failure) {
+            return unreadable(file, "cannot be read");
+        }
+        return new SettingsReader(file, Toml.parse(text)).read();
+    }
+
+    private static SettingsReport unreadable(Path file, String problem) {
+        return SettingsReport.invalid(
+                file,
+                List.of(
+                        new SettingsFault(
+                                SettingsFault.NO_KEY,
+                                SettingsFault.NO_LINE,
+                                "the file " + problem,
+                                "a readable TOML file")));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsReader.java
@@ -0,0 +1,159 @@
+package org.siskinramp.daemon.settings;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.tomlj.TomlParseError;
+import org.tomlj.TomlParseResult;
+
+/** Turns a parsed settings file into settings and collects its faults. */
+final class SettingsReader {
+
+    private static final int KIBIBYTE = 1024;
+    private static final int MEBIBYTE = 1024 * KIBIBYTE;
+    private static final int SECOND_MILLISECONDS = 1000;
+    private static final int HOUR_MILLISECONDS = 3600 * SECOND_MILLISECONDS;
+    private static final List<String> SECTIONS =
+            List.of(
+                    "host",
+                    "caller_side",
+                    "peer_link",
+                    "administration",
+                    "platform",
+                    "workers",
+                    "control",
+                    "log");
+
+    private final Path file;
+    private final TomlParseResult parsed;
+    private final List<SettingsFault> faults = new ArrayList<>();
+
+    SettingsReader(Path file, TomlParseResult parsed) {
+        this.file = file;
+        this.parsed = parsed;
+    }
+
+    SettingsReport read() {
+        parsed.errors().forEach(this::addSyntaxFault);
+        Settings settings =
+                new Settings(
+                        readHost(),
+                        readCallerSide(),
+                        readPeerLink(),
+                        readAdministration(),
+                        readPlatform(),
+                        readWorkers(),
+                        readControl(),
+                        readLog());
+        addUnknownSections();
+        if (faults.isEmpty()) {
+            return SettingsReport.valid(file, settings);
+        }
+        faults.sort(Comparator.comparingInt(SettingsFault::line));
+        return SettingsReport.invalid(file, faults);
+    }
+
+    private Settings.Host readHost() {
+        SettingsSection section = section("host");
+        Settings.Host host =
+                new Settings.Host(section.name("name"), section.name("availability_zone"));
+        section.close();
+        return host;
+    }
+
+    private Settings.CallerSide readCallerSide() {
+        SettingsSection section = section("caller_side");
+        Settings.CallerSide callerSide =
+                new Settings.CallerSide(
+                        section.address("address"),
+                        section.integer("header_limit_bytes", KIBIBYTE, MEBIBYTE, 16 * KIBIBYTE),
+                        section.integer("body_limit_bytes", 0, 64 * MEBIBYTE, MEBIBYTE),
+                        section.integer(
+                                "answer_limit_bytes", KIBIBYTE, 64 * MEBIBYTE, 8 * MEBIBYTE),
+                        section.integer("idle_timeout_ms", 100, HOUR_MILLISECONDS, 30_000),
+                        section.integer("concurrent_request_limit", 1, 100_000, 2_000),
+                        section.integer("default_deadline_ms", 1, HOUR_MILLISECONDS, 2_000));
+        section.close();
+        return callerSide;
+    }
+
+    private Settings.PeerLink readPeerLink() {
+        SettingsSection section = section("peer_link");
+        Settings.PeerLink peerLink =
+                new Settings.PeerLink(
+                        section.address("address"),
+                        section.integer("frame_limit_bytes", KIBIBYTE, MEBIBYTE, 64 * KIBIBYTE));
+        section.close();
+        return peerLink;
+    }
+
+    private Settings.Administration readAdministration() {
+        SettingsSection section = section("administration");
+        Settings.Administration administration =
+                new Settings.Administration(
+                        section.address("address"), section.readableFile("token_file", file));
+        section.close();
+        return administration;
+    }
+
+    private Settings.Platform readPlatform() {
+        SettingsSection section = section("platform");
+        Settings.Platform platform =
+                new Settings.Platform(
+                        section.httpAddress("address"),
+                        section.integer("request_timeout_ms", 10, 60_000, SECOND_MILLISECONDS));
+        section.close();
+        return platform;
+    }
+
+    private Settings.Workers readWorkers() {
+        SettingsSection section = section("workers");
+        Settings.Workers workers = new Settings.Workers(section.integer("count", 1, 256, 4));
+        section.close();
+        return workers;
+    }
+
+    private Settings.Control readControl() {
+        SettingsSection section = section("control");
+        Settings.Control control =
+                new Settings.Control(
+                        section.integer("heartbeat_interval_ms", 10, 60_000, 500),
+                        section.integer("lease_ms", 40, 600_000, 2_000),
+                        section.integer("configuration_poll_ms", 100, 60_000, 1_000),
+                        section.integer("stop_timeout_ms", 0, HOUR_MILLISECONDS, 30_000));
+        if (control.leaseMilliseconds() < 2 * control.heartbeatIntervalMilliseconds()) {
+            section.addFault(
+                    "lease_ms", "the lease is too short", "at least twice heartbeat_interval_ms");
+        }
+        section.close();
+        return control;
+    }
+
+    private Settings.Log readLog() {
+        SettingsSection section = section("log");
+        Settings.Log log = new Settings.Log(section.logLevel("level", LogLevel.INFO));
+        section.close();
+        return log;
+    }
+
+    private SettingsSection section(String name) {
+        return new SettingsSection(parsed, name, faults);
+    }
+
+    private void addSyntaxFault(TomlParseError error) {
+        faults.add(
+                new SettingsFault(
+                        SettingsFault.NO_KEY,
+                        error.position().line(),
+                        "malformed TOML: " + error.getMessage(),
+                        "TOML 1.0"));
+    }
+
+    private void addUnknownSections() {
+        parsed.keySet().stream()
+                .filter(key -> !SECTIONS.contains(key))
+                .map(key -> SettingsSection.unknown(parsed, List.of(key), SECTIONS))
+                .forEach(faults::add);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsReport.java
@@ -0,0 +1,64 @@
+package org.siskinramp.daemon.settings;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Objects;
+import java.util.stream.Collectors;
+import org.siskinramp.result.ResultCode;
+import org.siskinramp.result.ResultException;
+
+/** Holds what the check of a settings file found: the settings, or every fault. */
+public final class SettingsReport {
+
+    private final Path file;
+    private final Settings settings;
+    private final List<SettingsFault> faults;
+
+    private SettingsReport(Path file, Settings settings, List<SettingsFault> faults) {
+        this.file = file;
+        this.settings = settings;
+        this.faults = List.copyOf(faults);
+    }
+
+    static SettingsReport valid(Path file, Settings settings) {
+        return new SettingsReport(file, Objects.requireNonNull(settings, "settings"), List.of());
+    }
+
+    static SettingsReport invalid(Path file, List<SettingsFault> faults) {
+        return new SettingsReport(file, null, faults);
+    }
+
+    /**
+     * Returns the faults in the order of the file.
+     *
+     * @return the faults, empty if the settings are valid
+     */
+    public List<SettingsFault> faults() {
+        return faults;
+    }
+
+    /**
+     * Tells whether the settings may be used.
+     *
+     * @return true if there are no faults
+     */
+    public boolean isValid() {
+        return faults.isEmpty();
+    }
+
+    /**
+     * Returns the settings.
+     *
+     * @return the settings
+     * @throws ResultException with {@link ResultCode#SETTINGS_INVALID} and all faults if there are
+     *     any
+     */
+    public Settings settings() {
+        if (!isValid()) {
+            String all =
+                    faults.stream().map(SettingsFault::toString).collect(Collectors.joining(" | "));
+            throw new ResultException(ResultCode.SETTINGS_INVALID, "file " + file + ": " + all);
+        }
+        return settings;
+    }
+}
