--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/metrics/Metrics.java
@@ -0,0 +1,77 @@
+package org.siskinramp.daemon.metrics;
+
+import io.prometheus.metrics.config.EscapingScheme;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.instrumentation.jvm.JvmMetrics;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+import org.siskinramp.log.Counter;
+import org.siskinramp.log.Counters;
+
+/** Holds the metrics of one entry host. */
+public final class Metrics implements Counters, Gauges {
+
+    /** The media type of {@link #exposition()}. */
+    public static final String CONTENT_TYPE = PrometheusTextFormatWriter.CONTENT_TYPE;
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.create();
+    private final Map<Counter, io.prometheus.metrics.core.metrics.Counter> counters =
+            new EnumMap<>(Counter.class);
+
+    /** Creates metrics in which every counter is zero, and adds those of the JVM. */
+    public Metrics() {
+        Arrays.stream(Counter.values()).forEach(this::addCounter);
+        JvmMetrics.builder().register(registry);
+    }
+
+    @Override
+    public void add(Counter counter, long amount) {
+        counters.get(counter).inc(amount);
+    }
+
+    @Override
+    public void register(String name, String help, DoubleSupplier value) {
+        GaugeWithCallback.builder()
+                .name(name)
+                .help(help)
+                .callback(callback -> callback.call(value.getAsDouble()))
+                .register(registry);
+    }
+
+    /**
+     * Collects all metrics.
+     *
+     * @return the Prometheus text format in UTF-8
+     */
+    public byte[] exposition() {
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        try {
+            writer.write(output, registry.scrape(), EscapingScheme.DEFAULT);
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+        return output.toByteArray();
+    }
+
+    private void addCounter(Counter counter) {
+        counters.put(
+                counter,
+                io.prometheus.metrics.core.metrics.Counter.builder()
+                        .name(counter.metricName())
+                        .help(helpOf(counter))
+                        .register(registry));
+    }
+
+    private static String helpOf(Counter counter) {
+        return "Total of " + counter.name().toLowerCase(Locale.ROOT).replace('_', ' ') + ".";
+    }
+}
