Serve the administration API

Cause: operators and support engineers drive and ask an entry host from outside, and the platform's balancer asks for readiness. Change: a Jetty server on its own address with commands and queries behind two interfaces and a bearer token; liveness, readiness and metrics without a token; refusals as JSON with the result code, and Retry-After where there is advice. Conclusion: the parts that answer can be wired to the two interfaces.

--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/administration/AdministrationToken.java
@@ -0,0 +1,69 @@
+package org.siskinramp.daemon.administration;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import org.siskinramp.result.ResultCode;
+import org.siskinramp.result.ResultException;
+
+/** Holds the secret that operators show to the administration API. */
+public final class AdministrationToken {
+
+    /** The least length of a token, in characters. */
+    public static final int LEAST_LENGTH_CHARACTERS = 16;
+
+    private static final String SCHEME = "Bearer ";
+
+    private final String secret;
+
+    private AdministrationToken(String secret) {
+        this.secret = secret;
+    }
+
+    /**
+     * Reads the token from its file. White space around it does not count.
+     *
+     * @param file the file
+     * @return the token
+     * @throws ResultException with {@link ResultCode#FILE_UNREADABLE} if the file cannot be read or
+     *     holds no token
+     */
+    public static AdministrationToken read(Path file) {
+        String text;
+        try {
+            text = Files.readString(file).strip();
+        } catch (IOException failure) {
+            throw new ResultException(ResultCode.FILE_UNREADABLE, "token file " + file, failure);
+        }
+        if (text.length() < LEAST_LENGTH_CHARACTERS
+                || !text.chars().allMatch(character -> character > ' ' && character < 127)) {
+            throw new ResultException(
+                    ResultCode.FILE_UNREADABLE,
+                    "token file "
+                            + file
+                            + " must hold one word of at least "
+                            + LEAST_LENGTH_CHARACTERS
+                            + " visible ASCII characters");
+        }
+        return new AdministrationToken(text);
+    }
+
+    /**
+     * Returns the value of the Authorization header that shows this token.
+     *
+     * @return the header value
+     */
+    public String authorization() {
+        return SCHEME + secret;
+    }
+
+    /** Compares in a time that does not depend on where the first difference is. */
+    boolean isShownBy(String authorization) {
+        return authorization != null
+                && MessageDigest.isEqual(
+                        authorization.getBytes(StandardCharsets.UTF_8),
+                        authorization().getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/administration/command/AdministrationCommands.java
@@ -0,0 +1,37 @@
+package org.siskinramp.daemon.administration.command;
+
+import java.util.concurrent.CompletableFuture;
+import org.siskinramp.configuration.ServiceState;
+
+/**
+ * Carries out the commands of operators. Futures fail with a {@link
+ * org.siskinramp.result.ResultException}.
+ */
+public interface AdministrationCommands {
+
+    /**
+     * Files a change ticket.
+     *
+     * @param json the ticket
+     * @return the receipt once the ticket can no longer be lost
+     */
+    CompletableFuture<TicketReceipt> fileTicket(String json);
+
+    /**
+     * Files a ticket that takes an availability zone out of service or brings it back.
+     *
+     * @param name the availability zone
+     * @param state the new state
+     * @return the receipt
+     */
+    CompletableFuture<TicketReceipt> changeAvailabilityZone(String name, ServiceState state);
+
+    /**
+     * Files a ticket that takes a host out of service or brings it back.
+     *
+     * @param name the host
+     * @param state the new state
+     * @return the receipt
+     */
+    CompletableFuture<TicketReceipt> changeHost(String name, ServiceState state);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/administration/command/package-info.java
@@ -0,0 +1,2 @@
+/** Commands of operators, which change state. */
+package org.siskinramp.daemon.administration.command;
--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/administration/query/TicketSummary.java
@@ -0,0 +1,15 @@
+package org.siskinramp.daemon.administration.query;
+
+/**
+ * Describes an accepted change ticket in short.
+ *
+ * @param number the ticket's number
+ * @param configurationVersion the configuration version that it made
+ * @param filedAtHost the entry host that accepted it
+ * @param filedCalendarMilliseconds when it was accepted, in milliseconds since 1970
+ */
+public record TicketSummary(
+        long number,
+        long configurationVersion,
+        String filedAtHost,
+        long filedCalendarMilliseconds) {}
