Add the command line and the wiring of an entry host

Cause: one program is to run an entry host and to administer a running one. Change: a tree of args4j commands with help at each level, exit status 0, 1 or 2 and error lines that carry the result code; Dagger modules for the parts that exist, with the generated classes committed; bin/siskinramp; bin/check-generated, which generates again in a scratch copy and compares. Commands and queries are refused with code 410 until their parts are wired in. Ruled out: args4j's nested sub-commands, whose help and errors do not name the whole command; a build that generates, since it would need the generator. A command whose answer is lost is reported as unconfirmed (408), not as refused. Conclusion: thin but whole from settings to a graceful stop.

--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/commandline/ReceiptLine.java
@@ -0,0 +1,22 @@
+package org.siskinramp.daemon.commandline;
+
+import org.siskinramp.daemon.administration.AdministrationJson;
+import org.siskinramp.daemon.administration.command.TicketReceipt;
+import org.siskinramp.log.LogEvent;
+import org.siskinramp.result.ResultCode;
+
+/** Writes the receipt of a change ticket for people. */
+final class ReceiptLine {
+
+    private ReceiptLine() {}
+
+    static String of(String json) {
+        TicketReceipt receipt = AdministrationJson.read(json, TicketReceipt.class);
+        return TextLine.of(
+                LogEvent.named("accepted")
+                        .with("code", ResultCode.ACCEPTED.number())
+                        .with("ticket", receipt.number())
+                        .with("configuration_version", receipt.configurationVersion())
+                        .with("repeated", receipt.repeated()));
+    }
+}
