Add stand-ins for the platform, backend servers, callers and broken networks

Ruled out: detecting a closed caller by Jetty's own read interest, which HTTP/1.1 drops while a request is being answered; the server stand-in polls the connection every 5 ms instead.

Change: the program org.siskinramp.standin.Main with the sub-commands platform, backend-server, callers and fault-proxy, started by bin/stand-in. The backend server keeps the judge's counts (runs of each request, requests past its slots, overload while cold); callers compare each answer and the judges' counts with what they were told.

Conclusion: usable by hand and in tests; not yet run against an entry host.

--- /dev/null
+++ b/stand-in/src/main/java/org/siskinramp/standin/caller/LoadReport.java
@@ -0,0 +1,104 @@
+package org.siskinramp.standin.caller;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.Collection;
+import java.util.Optional;
+import org.HdrHistogram.Histogram;
+import org.siskinramp.log.LogEvent;
+
+/**
+ * Sums up the requests of a kind, or of all kinds.
+ *
+ * <p>Latencies run from the moment at which a request was to be sent, so that a delay in sending
+ * counts too.
+ *
+ * @param kind the kind, or {@code total}
+ * @param sent requests sent, copies not counted
+ * @param answeredOnce requests answered whole; every copy got the same answer
+ * @param notRun requests refused as not run
+ * @param unknown requests that may have run
+ * @param failed requests that failed
+ * @param crossed requests that got an answer made for another, or two different answers
+ * @param p50Milliseconds the median latency of answered requests
+ * @param p99Milliseconds the 99th percentile
+ * @param p999Milliseconds the 99.9th percentile
+ * @param judge what the backend servers ran, for the total if they were asked
+ */
+@JsonInclude(JsonInclude.Include.NON_NULL)
+public record LoadReport(
+        String kind,
+        long sent,
+        long answeredOnce,
+        long notRun,
+        long unknown,
+        long failed,
+        long crossed,
+        @JsonProperty("p50_ms") long p50Milliseconds,
+        @JsonProperty("p99_ms") long p99Milliseconds,
+        @JsonProperty("p999_ms") long p999Milliseconds,
+        JudgeReport judge) {
+
+    private static final int SIGNIFICANT_DIGITS = 3;
+
+    static LoadReport of(
+            String kind, Collection<RequestRecord> records, Optional<JudgeReport> judge) {
+        Histogram latencies = new Histogram(SIGNIFICANT_DIGITS);
+        records.stream()
+                .filter(entry -> entry.request().measured())
+                .mapToLong(RequestRecord::latencyMilliseconds)
+                .filter(latency -> latency >= 0)
+                .forEach(latencies::recordValue);
+        return new LoadReport(
+                kind,
+                records.size(),
+                count(records, Outcome.ANSWERED),
+                count(records, Outcome.NOT_RUN),
+                count(records, Outcome.UNKNOWN),
+                count(records, Outcome.FAILED),
+                records.stream().filter(LoadReport::isWrong).count(),
+                latencies.getValueAtPercentile(50),
+                latencies.getValueAtPercentile(99),
+                latencies.getValueAtPercentile(99.9),
+                judge.orElse(null));
+    }
+
+    /**
+     * Returns the report as one log line.
+     *
+     * @return the event
+     */
+    public LogEvent toEvent() {
+        LogEvent event =
+                LogEvent.named("callers")
+                        .with("kind", kind)
+                        .with("sent", sent)
+                        .with("answered_once", answeredOnce)
+                        .with("not_run", notRun)
+                        .with("unknown", unknown)
+                        .with("failed", failed)
+                        .with("crossed", crossed)
+                        .with("p50_ms", p50Milliseconds)
+                        .with("p99_ms", p99Milliseconds)
+                        .with("p999_ms", p999Milliseconds);
+        return judge == null ? event : withJudge(event);
+    }
+
+    private LogEvent withJudge(LogEvent event) {
+        return event.with("doubled", judge.doubled())
+                .with("falsely_not_run", judge.falselyNotRun())
+                .with("answered_without_run", judge.answeredWithoutRun())
+                .with("over_limit", judge.overLimit())
+                .with("cold_overload", judge.coldOverload());
+    }
+
+    private static boolean isWrong(RequestRecord entry) {
+        return entry.isCrossed() || entry.isAnsweredDifferently();
+    }
+
+    private static long count(Collection<RequestRecord> records, Outcome outcome) {
+        return records.stream()
+                .filter(entry -> entry.outcome() == outcome && !isWrong(entry))
+                .count();
+    }
+}
--- /dev/null
+++ b/stand-in/src/main/java/org/siskinramp/standin/command/CallersCommand.java
@@ -0,0 +1,93 @@
+package org.siskinramp.standin.command;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.kohsuke.args4j.Option;
+import org.siskinramp.log.EventLog;
+import org.siskinramp.standin.WorkerScheduler;
+import org.siskinramp.standin.caller.CallerLoad;
+import org.siskinramp.standin.caller.CallerSettings;
+import org.siskinramp.standin.caller.LoadKind;
+import org.siskinramp.standin.caller.LoadReport;
+import org.siskinramp.standin.http.Json;
+import org.siskinramp.time.SystemClock;
+
+/** Sends a load to entry hosts and checks every answer. */
+public final class CallersCommand implements StandInCommand {
+
+    private static final int THREADS = 2;
+
+    @Option(name = "--targets", required = true, usage = "addresses, separated by commas")
+    private String targets;
+
+    @Option(name = "--judges", usage = "addresses of backend servers to ask what really ran")
+    private String judges = "";
+
+    @Option(name = "--mix", usage = "kinds as name:method:path:share, separated by commas")
+    private String mix = "read:GET:/schedule/streets:8,order:POST:/dispatch/orders:2";
+
+    @Option(name = "--requests", usage = "how many requests to send")
+    private int requests = 1000;
+
+    @Option(name = "--warm-up-requests", usage = "first requests whose latency does not count")
+    private int warmUpRequests;
+
+    @Option(name = "--rate", usage = "mean number of requests in a second")
+    private double requestsPerSecond = 100;
+
+    @Option(name = "--callers", usage = "how many callers share the requests")
+    private int callers = 10;
+
+    @Option(name = "--seed", usage = "seed of all random choices")
+    private long seed = 1;
+
+    @Option(name = "--deadline-ms", usage = "how long a caller waits, in milliseconds")
+    private long deadlineMilliseconds = 2000;
+
+    @Option(name = "--resend", usage = "share of non-idempotent requests that are sent twice")
+    private double resendShare;
+
+    @Option(name = "--follow-up-ms", usage = "how long to ask again for what is in progress")
+    private long followUpMilliseconds = 10_000;
+
+    @Option(name = "--json", usage = "write the report as JSON")
+    private boolean json;
+
+    @Override
+    public int run(EventLog output) {
+        try (WorkerScheduler scheduler = new WorkerScheduler(THREADS);
+                CallerLoad load = new CallerLoad(settings(), new SystemClock(), scheduler)) {
+            List<LoadReport> reports = load.run().join();
+            write(reports, output);
+        }
+        return 0;
+    }
+
+    @SuppressWarnings("SystemOut")
+    private void write(List<LoadReport> reports, EventLog output) {
+        if (json) {
+            System.out.println(new String(Json.write(reports), StandardCharsets.UTF_8));
+        } else {
+            reports.forEach(report -> output.record(report.toEvent()));
+        }
+    }
+
+    private CallerSettings settings() {
+        return new CallerSettings(
+                addresses(targets),
+                addresses(judges),
+                LoadKind.parseAll(mix),
+                requests,
+                warmUpRequests,
+                requestsPerSecond,
+                callers,
+                seed,
+                deadlineMilliseconds,
+                resendShare,
+                followUpMilliseconds);
+    }
+
+    private static List<String> addresses(String text) {
+        return text.isEmpty() ? List.of() : List.of(text.split(",", -1));
+    }
+}
--- /dev/null
+++ b/stand-in/src/main/java/org/siskinramp/standin/command/PlatformCommand.java
@@ -0,0 +1,47 @@
+package org.siskinramp.standin.command;
+
+import org.kohsuke.args4j.Option;
+import org.siskinramp.log.EventLog;
+import org.siskinramp.standin.WorkerScheduler;
+import org.siskinramp.standin.platform.PlatformSettings;
+import org.siskinramp.standin.platform.PlatformStandIn;
+import org.siskinramp.time.SystemClock;
+
+/** Runs the platform's table service, object store and host list. */
+public final class PlatformCommand implements StandInCommand {
+
+    private static final int THREADS = 2;
+
+    @Option(name = "--address", usage = "address to listen on; port 0 takes a free port")
+    private String address = "127.0.0.1:0";
+
+    @Option(name = "--write-delay-ms", usage = "how long a write takes, in milliseconds")
+    private long writeDelayMilliseconds;
+
+    @Option(name = "--read-delay-ms", usage = "how long a read takes, in milliseconds")
+    private long readDelayMilliseconds;
+
+    @Option(name = "--host-list-delay-ms", usage = "how far the host list lags, in milliseconds")
+    private long hostListDelayMilliseconds;
+
+    @Option(name = "--writes-per-second", usage = "writes taken in a second; 0 for no limit")
+    private int writesPerSecond;
+
+    @Option(name = "--reads-per-second", usage = "reads taken in a second; 0 for no limit")
+    private int readsPerSecond;
+
+    @Override
+    public int run(EventLog output) {
+        PlatformSettings settings =
+                new PlatformSettings(
+                        address,
+                        writeDelayMilliseconds,
+                        readDelayMilliseconds,
+                        hostListDelayMilliseconds,
+                        writesPerSecond,
+                        readsPerSecond);
+        PlatformStandIn platform =
+                PlatformStandIn.start(settings, new SystemClock(), new WorkerScheduler(THREADS));
+        return Running.untilTerminated(platform.address(), output, platform::close);
+    }
+}
--- /dev/null
+++ b/stand-in/src/main/java/org/siskinramp/standin/proxy/DroppedDirection.java
@@ -0,0 +1,16 @@
+package org.siskinramp.standin.proxy;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/** Names the direction in which bytes are dropped. */
+enum DroppedDirection {
+    /** Nothing is dropped. */
+    @JsonProperty("none")
+    NONE,
+    /** Bytes to the target are dropped. */
+    @JsonProperty("to_target")
+    TO_TARGET,
+    /** Bytes from the target are dropped. */
+    @JsonProperty("from_target")
+    FROM_TARGET
+}
--- /dev/null
+++ b/stand-in/src/main/java/org/siskinramp/standin/proxy/package-info.java
@@ -0,0 +1,2 @@
+/** A TCP proxy that harms connections on command. */
+package org.siskinramp.standin.proxy;
--- /dev/null
+++ b/stand-in/src/main/java/org/siskinramp/standin/server/Distribution.java
@@ -0,0 +1,35 @@
+package org.siskinramp.standin.server;
+
+import java.util.SplittableRandom;
+
+/** Draws how long a request takes. */
+public enum Distribution {
+    /** Always the mean. */
+    CONSTANT {
+        @Override
+        double draw(SplittableRandom random, double meanMilliseconds) {
+            return meanMilliseconds;
+        }
+    },
+    /** Exponential, with a standard deviation equal to the mean. */
+    EXPONENTIAL {
+        @Override
+        double draw(SplittableRandom random, double meanMilliseconds) {
+            return -meanMilliseconds * Math.log(1 - random.nextDouble());
+        }
+    },
+    /** Lognormal with a heavy tail. */
+    LOGNORMAL {
+        @Override
+        double draw(SplittableRandom random, double meanMilliseconds) {
+            double gaussian =
+                    Math.sqrt(-2 * Math.log(1 - random.nextDouble()))
+                            * Math.cos(2 * Math.PI * random.nextDouble());
+            return meanMilliseconds * Math.exp(SIGMA * gaussian - SIGMA * SIGMA / 2);
+        }
+    };
+
+    private static final double SIGMA = 1;
+
+    abstract double draw(SplittableRandom random, double meanMilliseconds);
+}
--- /dev/null
+++ b/stand-in/src/main/java/org/siskinramp/standin/server/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for a backend server, with a judge that sees what really ran. */
+package org.siskinramp.standin.server;
