--- a/library/src/main/java/org/siskinramp/ledger/Settlement.java
+++ b/library/src/main/java/org/siskinramp/ledger/Settlement.java
@@ -105,10 +105,15 @@
         if (found.token().equals(target.token())) {
             return reconcileOwn(found);
         }
-        if (!fence) {
-            return Reading.VIOLATED;
+        return reconcileOther();
+    }
+
+    /** Another attempt may only hold the row after this one released it or never had it. */
+    private Reading reconcileOther() {
+        if (version > lastExpectedVersion && target.state() == ClaimState.RELEASED) {
+            return Reading.SETTLED;
         }
-        return version <= lastExpectedVersion ? Reading.TO_WRITE : Reading.SETTLED;
+        return fence ? Reading.TO_WRITE : Reading.VIOLATED;
     }
 
     private Reading reconcileOwn(ClaimRow found) {
