Add the link between entry hosts

Cause: entry hosts had no way to send heartbeats and loans to each other.

Ruled out: one connection for both directions of a pair, which needs a rule for two hosts that open it at the same time; each host now opens its own link to each peer, and the receiving side answers with a receipt at most every 500 ms, which is what shows that a link went silent. A codec written by hand for each message: one codec over record components serves all of them.

Change: package peer, with one selector thread, frames of length, version and MessagePack array, a hello that names sender and receiver (so that a frame for a host whose address was taken over is never handled by another one), bounded queues, back-off with jitter, delivery in order per sender. Two counters are new in the shared types: PEER_FRAMES_DROPPED and PEER_FRAMES_UNKNOWN.

Frames that the tests show: a ConfigurationNotice takes 9 bytes with its length field.

--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/peer/LinkReports.java
@@ -0,0 +1,60 @@
+package org.siskinramp.daemon.peer;
+
+import org.siskinramp.log.Counter;
+import org.siskinramp.log.Counters;
+import org.siskinramp.log.EventLog;
+import org.siskinramp.log.LogEvent;
+
+/** Logs and counts what happens on links. */
+record LinkReports(EventLog eventLog, Counters counters, PeerTraffic traffic) {
+
+    void opened(String peer, String direction) {
+        eventLog.record(
+                LogEvent.named("peer_link_opened").with("peer", peer).with("direction", direction));
+    }
+
+    void closed(String peer, String direction, Object reason) {
+        eventLog.record(
+                LogEvent.named("peer_link_closed")
+                        .with("peer", peer)
+                        .with("direction", direction)
+                        .with("reason", reason));
+    }
+
+    void silent() {
+        counters.add(Counter.SILENT_CONNECTIONS);
+    }
+
+    void invalid(String peer, Throwable cause) {
+        counters.add(Counter.PEER_FRAMES_INVALID);
+        eventLog.record(
+                LogEvent.named("peer_frame_invalid")
+                        .with("peer", peer)
+                        .with("cause", cause.getMessage()));
+    }
+
+    void unknown() {
+        counters.add(Counter.PEER_FRAMES_UNKNOWN);
+    }
+
+    void dropped(String peer, long frames, String reason) {
+        if (frames > 0) {
+            counters.add(Counter.PEER_FRAMES_DROPPED, frames);
+            eventLog.record(
+                    LogEvent.named("peer_frames_dropped")
+                            .with("peer", peer)
+                            .with("frames", frames)
+                            .with("reason", reason));
+        }
+    }
+
+    void sent(Frame frame) {
+        counters.add(Counter.PEER_FRAMES);
+        counters.add(Counter.PEER_BYTES, frame.bytes().length);
+        traffic.count(PeerTraffic.Direction.SENT, frame.messageType(), frame.bytes().length);
+    }
+
+    void received(String messageType, int bytes) {
+        traffic.count(PeerTraffic.Direction.RECEIVED, messageType, bytes);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/peer/MessageTypes.java
@@ -0,0 +1,51 @@
+package org.siskinramp.daemon.peer;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.siskinramp.peer.AllowanceChange;
+import org.siskinramp.peer.ColdSighting;
+import org.siskinramp.peer.ConfigurationNotice;
+import org.siskinramp.peer.Heartbeat;
+import org.siskinramp.peer.LoanAsk;
+import org.siskinramp.peer.LoanGrant;
+import org.siskinramp.peer.LoanReturn;
+import org.siskinramp.peer.PeerMessage;
+import org.siskinramp.peer.SlotRelease;
+import org.siskinramp.peer.SuspectRequest;
+
+/** Numbers the types of messages. A number is never reused for another type. */
+final class MessageTypes {
+
+    private static final Map<Class<? extends PeerMessage>, Integer> NUMBERS =
+            Map.ofEntries(
+                    Map.entry(Heartbeat.class, 1),
+                    Map.entry(LoanAsk.class, 2),
+                    Map.entry(LoanGrant.class, 3),
+                    Map.entry(LoanReturn.class, 4),
+                    Map.entry(SlotRelease.class, 5),
+                    Map.entry(AllowanceChange.class, 6),
+                    Map.entry(ColdSighting.class, 7),
+                    Map.entry(ConfigurationNotice.class, 8),
+                    Map.entry(SuspectRequest.class, 9),
+                    Map.entry(Hello.class, 100),
+                    Map.entry(Receipt.class, 101));
+
+    private static final Map<Integer, Class<? extends PeerMessage>> TYPES =
+            NUMBERS.entrySet().stream()
+                    .collect(Collectors.toUnmodifiableMap(Map.Entry::getValue, Map.Entry::getKey));
+
+    private MessageTypes() {}
+
+    static int numberOf(Class<? extends PeerMessage> type) {
+        Integer number = NUMBERS.get(type);
+        if (number == null) {
+            throw new IllegalArgumentException("no number for " + type.getName());
+        }
+        return number;
+    }
+
+    static Optional<Class<? extends PeerMessage>> typeOf(int number) {
+        return Optional.ofNullable(TYPES.get(number));
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/siskinramp/daemon/peer/PeerCodecTest.java
@@ -0,0 +1,123 @@
+package org.siskinramp.daemon.peer;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.siskinramp.peer.Acknowledgement;
+import org.siskinramp.peer.ColdSighting;
+import org.siskinramp.peer.ConfigurationNotice;
+import org.siskinramp.peer.Heartbeat;
+import org.siskinramp.peer.LoanGrant;
+import org.siskinramp.peer.LoanReturn;
+import org.siskinramp.peer.PeerMessage;
+import org.siskinramp.peer.ServerAllowance;
+import org.siskinramp.peer.ServiceSpare;
+import org.siskinramp.peer.SlotRelease;
+import org.siskinramp.result.ResultCode;
+import org.siskinramp.result.ResultException;
+
+class PeerCodecTest {
+
+    private final PeerCodec codec = new PeerCodec(200);
+
+    @Test
+    void writesLengthVersionTypeAndComponents() {
+        assertArrayEquals(
+                HexFormat.of().parseHex("0000000501920891" + "07"),
+                codec.encode(new ConfigurationNotice(7)).bytes());
+    }
+
+    @Test
+    void readsEveryMessageThatItWrote() {
+        assertSame(
+                new Heartbeat(
+                        "i9",
+                        5_000_000_000L,
+                        3,
+                        4,
+                        List.of(new Acknowledgement("i8", -1)),
+                        List.of("entry-3"),
+                        List.of(new ServerAllowance("d1", 2, "b7")),
+                        9,
+                        List.of(new ServiceSpare("dispatch", 6))));
+        assertSame(
+                new LoanGrant(1, "dispatch", List.of(new LoanGrant.Loan(2, "d1", 0, 500, 4)), 3));
+        assertSame(new LoanReturn(List.of(1L, 2L)));
+        assertSame(new SlotRelease(1, 2, true, List.of(new SlotRelease.ReleasedSlot("d1", 3))));
+        assertSame(new ColdSighting("d1", ""));
+    }
+
+    @Test
+    void skipsTypesAndComponentsOfLaterVersions() {
+        assertEquals(Optional.empty(), codec.decode(HexFormat.of().parseHex("0192639107")));
+        assertEquals(
+                Optional.of(new ConfigurationNotice(7)),
+                codec.decode(HexFormat.of().parseHex("01920892" + "07a178")));
+    }
+
+    @Test
+    void refusesMalformedFrames() {
+        for (String frame :
+                List.of(
+                        "",
+                        "0292089107",
+                        "01",
+                        "01c0",
+                        "019208",
+                        "01920890",
+                        "019208910700",
+                        "01920891a178",
+                        "019203" + "94" + "01a164" + "dfffffffff" + "00")) {
+            ResultException failure =
+                    assertThrows(
+                            ResultException.class,
+                            () -> codec.decode(HexFormat.of().parseHex(frame)),
+                            frame);
+            assertEquals(ResultCode.FRAME_INVALID, failure.code(), frame);
+        }
+    }
+
+    @Test
+    void refusesToWriteAFramePastTheLimit() {
+        ResultException failure =
+                assertThrows(
+                        ResultException.class,
+                        () -> codec.encode(new ColdSighting("x".repeat(200), "")));
+        assertEquals(ResultCode.FRAME_TOO_LARGE, failure.code());
+    }
+
+    @Test
+    void cutsBytesIntoFramesWhereverTheyAreSplit() {
+        FrameReader reader = new FrameReader(200);
+        byte[] bytes = HexFormat.of().parseHex("00000002aabb" + "00000001cc" + "0000");
+        assertEquals(List.of(), reader.read(ByteBuffer.wrap(bytes, 0, 5)));
+        List<byte[]> frames = reader.read(ByteBuffer.wrap(bytes, 5, 8));
+        assertEquals(
+                List.of("aabb", "cc"), frames.stream().map(HexFormat.of()::formatHex).toList());
+    }
+
+    @Test
+    void refusesAFrameLengthOutsideTheLimit() {
+        assertEquals(ResultCode.FRAME_TOO_LARGE, lengthRefusal("000000c9"));
+        assertEquals(ResultCode.FRAME_INVALID, lengthRefusal("00000000"));
+        assertEquals(ResultCode.FRAME_INVALID, lengthRefusal("ffffffff"));
+    }
+
+    private static ResultCode lengthRefusal(String length) {
+        ByteBuffer bytes = ByteBuffer.wrap(HexFormat.of().parseHex(length));
+        return assertThrows(ResultException.class, () -> new FrameReader(200).read(bytes)).code();
+    }
+
+    private void assertSame(PeerMessage message) {
+        byte[] frame = codec.encode(message).bytes();
+        assertEquals(
+                Optional.of(message), codec.decode(Arrays.copyOfRange(frame, 4, frame.length)));
+    }
+}
--- a/library/src/main/java/org/siskinramp/log/Counter.java
+++ b/library/src/main/java/org/siskinramp/log/Counter.java
@@ -40,6 +40,10 @@
     PEER_BYTES,
     /** Peer links closed because of a malformed frame. */
     PEER_FRAMES_INVALID,
+    /** Frames for other entry hosts that were dropped before they were sent or handled. */
+    PEER_FRAMES_DROPPED,
+    /** Frames of a type that this version does not know. */
+    PEER_FRAMES_UNKNOWN,
     /** Backend servers found cold. */
     COLD_STARTS,
     /** Backend servers ejected. */
