Tell the work of each service and the claims that are not settled

Cause: the daemon has to show what an entry host does, and a planned stop has to know when the ends of all claims are durable. The library answered neither.

Ruled out: counting in the daemon, which would hold the same numbers twice and drift from the tables that decide.

Change: ServiceRouters.work() gives held, busy and waiting by service; ClaimLedger.unsettled() counts claims that are open or whose end is not durable; EntryHost passes both on, and the number of judged servers. The poll of the configuration is now part of EntryHostOptions, so that the setting for it can reach the follower.

Conclusion: additive queries and one option; no decision changed.

--- a/library/src/main/java/org/siskinramp/host/EntryHost.java
+++ b/library/src/main/java/org/siskinramp/host/EntryHost.java
@@ -1,5 +1,6 @@
 package org.siskinramp.host;
 
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.siskinramp.configuration.Configuration;
@@ -24,6 +25,7 @@
 import org.siskinramp.routing.RequestRun;
 import org.siskinramp.routing.ServiceRouter;
 import org.siskinramp.routing.ServiceRouters;
+import org.siskinramp.routing.ServiceWork;
 import org.siskinramp.slot.SlotHoldings;
 import org.siskinramp.ticket.ConfigurationFollower;
 import org.siskinramp.ticket.Tickets;
@@ -327,6 +329,33 @@
         return membership.holdings();
     }
 
+    /**
+     * Counts the claims whose end is not yet durable.
+     *
+     * @return the unsettled claims
+     */
+    public int unsettledClaims() {
+        return ledger.unsettled();
+    }
+
+    /**
+     * Describes the work of each service.
+     *
+     * @return the work in the order of the services' names
+     */
+    public List<ServiceWork> work() {
+        return routers.work();
+    }
+
+    /**
+     * Counts the backend servers whose warmth this host judges.
+     *
+     * @return the judged servers
+     */
+    public int judgedServers() {
+        return routers.judgedServers().size();
+    }
+
     /**
      * Counts the requests that wait for a slot.
      *
--- a/library/src/main/java/org/siskinramp/host/EntryHostOptions.java
+++ b/library/src/main/java/org/siskinramp/host/EntryHostOptions.java
@@ -3,6 +3,7 @@
 import org.siskinramp.ledger.LedgerOptions;
 import org.siskinramp.membership.MembershipOptions;
 import org.siskinramp.routing.RoutingOptions;
+import org.siskinramp.ticket.FollowerOptions;
 
 /**
  * Holds the options of all parts of an entry host.
@@ -10,12 +11,14 @@
  * @param membership times of the lease, equal on all hosts
  * @param routing times, counts and budgets of the routing
  * @param ledger times and budgets of the claims
+ * @param follower how often the configuration is read
  * @param tickIntervalMilliseconds how often the routing looks for what is due
  */
 public record EntryHostOptions(
         MembershipOptions membership,
         RoutingOptions routing,
         LedgerOptions ledger,
+        FollowerOptions follower,
         long tickIntervalMilliseconds) {
 
     private static final long TICK_INTERVAL_MILLISECONDS = 5;
@@ -30,6 +33,7 @@
                 MembershipOptions.builder().build(),
                 RoutingOptions.builder().build(),
                 LedgerOptions.builder().build(),
+                FollowerOptions.DEFAULT,
                 TICK_INTERVAL_MILLISECONDS);
     }
 }
--- a/library/src/main/java/org/siskinramp/host/EntryHostParts.java
+++ b/library/src/main/java/org/siskinramp/host/EntryHostParts.java
@@ -14,7 +14,6 @@
 import org.siskinramp.routing.ServiceRouter;
 import org.siskinramp.routing.ServiceRouters;
 import org.siskinramp.ticket.ConfigurationFollower;
-import org.siskinramp.ticket.FollowerOptions;
 import org.siskinramp.ticket.Tickets;
 
 /** Makes the parts of an entry host and connects them. */
@@ -56,7 +55,7 @@
                         builder.scheduler(),
                         builder.newRandom(),
                         builder.eventLog(),
-                        FollowerOptions.DEFAULT,
+                        builder.options().follower(),
                         configurationListener);
         ledger = newLedger();
     }
--- a/library/src/main/java/org/siskinramp/ledger/ClaimTable.java
+++ b/library/src/main/java/org/siskinramp/ledger/ClaimTable.java
@@ -81,6 +81,10 @@
         }
     }
 
+    synchronized int size() {
+        return entries.size();
+    }
+
     synchronized boolean isFull() {
         return entries.size() >= limit;
     }
--- a/library/src/main/java/org/siskinramp/routing/ServiceRouter.java
+++ b/library/src/main/java/org/siskinramp/routing/ServiceRouter.java
@@ -255,6 +255,24 @@
         }
     }
 
+    /**
+     * Describes the work of the service.
+     *
+     * @return the slots and the waiting requests at this moment
+     */
+    public ServiceWork work() {
+        lock.lock();
+        try {
+            return new ServiceWork(
+                    state.service().name(),
+                    state.slots().size(),
+                    state.slots().busy(),
+                    state.queue().size());
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /**
      * Lists the servers that this host judges, each with its allowance.
      *
--- a/library/src/main/java/org/siskinramp/routing/ServiceRouters.java
+++ b/library/src/main/java/org/siskinramp/routing/ServiceRouters.java
@@ -180,6 +180,15 @@
         return routers.values().stream().mapToInt(ServiceRouter::waiting).sum();
     }
 
+    /**
+     * Describes the work of each service.
+     *
+     * @return the work in the order of the services' names
+     */
+    public List<ServiceWork> work() {
+        return new TreeMap<>(routers).values().stream().map(ServiceRouter::work).toList();
+    }
+
     /**
      * Lists the servers that this host judges.
      *
--- a/library/src/main/java/org/siskinramp/routing/SlotTable.java
+++ b/library/src/main/java/org/siskinramp/routing/SlotTable.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 import org.siskinramp.slot.SlotKey;
 
 /** Keeps the slots of one service that this host holds or has borrowed. */
@@ -65,6 +66,17 @@
         return idle;
     }
 
+    int size() {
+        return own.size() + borrowed.size();
+    }
+
+    int busy() {
+        return (int)
+                Stream.concat(own.values().stream(), borrowed.values().stream())
+                        .filter(slot -> slot.use() == Slot.Use.BUSY)
+                        .count();
+    }
+
     Collection<Slot> own() {
         return own.values();
     }
