Wire the library, the links and the workers into a running entry host

Cause: the daemon only served its administration API, with every command refused.

Ruled out: one pool for delays and work, where a long task would delay heartbeats; a callback hop to workers for each answer of a backend server, since the library's callbacks don't block.

Change: Workers runs delayed tasks and peer messages and logs a task that fails; EntryHostModule makes the platform's client, the links and the library's EntryHost; LibraryCommands and LibraryQueries answer the administration API; HostGauges and the bytes by message type are given out as metrics; PlannedStop drains, refuses, waits for requests, hands slots over and waits for claims. A command on a place has a receipt of its own, as it has no ticket number. The host that filed a ticket is no longer shown, since it isn't kept. The lease must be at least three heartbeats, as the library asks.

--- a/daemon/src/main/java/org/siskinramp/daemon/AdministrationModule.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/AdministrationModule.java
@@ -1,5 +1,6 @@
 package org.siskinramp.daemon;
 
+import dagger.Binds;
 import dagger.Module;
 import dagger.Provides;
 import jakarta.inject.Singleton;
@@ -13,21 +14,15 @@
 
 /** Provides the administration API. */
 @Module
-final class AdministrationModule {
+interface AdministrationModule {
 
-    private AdministrationModule() {}
+    /** Carries commands out through the library. */
+    @Binds
+    AdministrationCommands commands(LibraryCommands commands);
 
-    @Provides
-    @Singleton
-    static AdministrationCommands commands() {
-        return new UnwiredAdministration();
-    }
-
-    @Provides
-    @Singleton
-    static AdministrationQueries queries() {
-        return new UnwiredAdministration();
-    }
+    /** Answers queries from the library. */
+    @Binds
+    AdministrationQueries queries(LibraryQueries queries);
 
     @Provides
     @Singleton
--- a/daemon/src/main/java/org/siskinramp/daemon/EntryHostComponent.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/EntryHostComponent.java
@@ -7,11 +7,11 @@
 
 /** Builds an entry host from its parts. */
 @Singleton
-@Component(modules = {SystemModule.class, AdministrationModule.class})
+@Component(modules = {SystemModule.class, EntryHostModule.class, AdministrationModule.class})
 interface EntryHostComponent {
 
     /** Returns the entry host, not yet started. */
-    EntryHost entryHost();
+    EntryHostDaemon entryHost();
 
     /** Makes the component. */
     @Component.Factory
--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/EntryHostDaemon.java
@@ -0,0 +1,94 @@
+package org.siskinramp.daemon;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import java.io.IOException;
+import org.siskinramp.daemon.administration.AdministrationServer;
+import org.siskinramp.daemon.backend.JettyBackendServerLink;
+import org.siskinramp.daemon.caller.CallerServer;
+import org.siskinramp.daemon.peer.PeerLink;
+import org.siskinramp.daemon.platform.HttpPlatform;
+import org.siskinramp.daemon.settings.Settings;
+import org.siskinramp.host.EntryHost;
+import org.siskinramp.log.EventLog;
+import org.siskinramp.log.LogEvent;
+
+/** Starts and stops the parts of an entry host in order. */
+@Singleton
+final class EntryHostDaemon {
+
+    private final Settings settings;
+    private final HttpPlatform platform;
+    private final JettyBackendServerLink backendServers;
+    private final PeerLink peers;
+    private final EntryHost entryHost;
+    private final CallerServer callers;
+    private final AdministrationServer administration;
+    private final HostGauges gauges;
+    private final PlannedStop plannedStop;
+    private final EventLog eventLog;
+
+    @Inject
+    EntryHostDaemon(
+            Settings settings,
+            HttpPlatform platform,
+            JettyBackendServerLink backendServers,
+            PeerLink peers,
+            EntryHost entryHost,
+            CallerServer callers,
+            AdministrationServer administration,
+            HostGauges gauges,
+            PlannedStop plannedStop,
+            EventLog eventLog) {
+        this.settings = settings;
+        this.platform = platform;
+        this.backendServers = backendServers;
+        this.peers = peers;
+        this.entryHost = entryHost;
+        this.callers = callers;
+        this.administration = administration;
+        this.gauges = gauges;
+        this.plannedStop = plannedStop;
+        this.eventLog = eventLog;
+    }
+
+    void start() throws IOException {
+        gauges.register();
+        platform.start();
+        backendServers.start();
+        peers.start();
+        entryHost.start();
+        callers.start();
+        administration.start();
+        eventLog.record(
+                LogEvent.named("started")
+                        .with("caller_address", hostAddress() + ":" + callers.port())
+                        .with("peer_port", peers.port())
+                        .with("administration_address", administration.address()));
+    }
+
+    private String hostAddress() {
+        return settings.callerSide().address().getAddress().getHostAddress();
+    }
+
+    /**
+     * Stops without cutting requests, as far as the settings leave time.
+     *
+     * @return true if nothing was cut and all parts stopped in order
+     */
+    boolean stop() {
+        boolean whole = plannedStop.run();
+        try {
+            callers.stop();
+            backendServers.stop();
+            peers.stop();
+            platform.stop();
+            administration.stop();
+            eventLog.record(LogEvent.named("stopped").with("whole", whole));
+            return true;
+        } catch (IOException | RuntimeException failure) {
+            eventLog.record(LogEvent.named("stop_failed").with("cause", failure));
+            return false;
+        }
+    }
+}
--- a/daemon/src/main/java/org/siskinramp/daemon/EntryHostProcess.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/EntryHostProcess.java
@@ -15,7 +15,7 @@
 
     static ExitStatus run(Settings settings) {
         LogSetup.apply(settings.host(), settings.log());
-        EntryHost entryHost = DaggerEntryHostComponent.factory().create(settings).entryHost();
+        EntryHostDaemon entryHost = DaggerEntryHostComponent.factory().create(settings).entryHost();
         try {
             entryHost.start();
         } catch (IOException failure) {
@@ -28,7 +28,7 @@
     }
 
     /** A stop that was asked for and ended in order is a success, also when a signal asked. */
-    private static void stop(EntryHost entryHost) {
+    private static void stop(EntryHostDaemon entryHost) {
         ExitStatus status = entryHost.stop() ? ExitStatus.SUCCESS : ExitStatus.FAILURE;
         Runtime.getRuntime().halt(status.number());
     }
--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/LibraryCommands.java
@@ -0,0 +1,68 @@
+package org.siskinramp.daemon;
+
+import jakarta.inject.Inject;
+import java.util.concurrent.CompletableFuture;
+import org.siskinramp.configuration.ServiceState;
+import org.siskinramp.daemon.administration.command.AdministrationCommands;
+import org.siskinramp.daemon.administration.command.PlaceReceipt;
+import org.siskinramp.daemon.administration.command.TicketReceipt;
+import org.siskinramp.host.EntryHost;
+import org.siskinramp.result.ResultCode;
+import org.siskinramp.result.ResultException;
+import org.siskinramp.ticket.PlaceKind;
+
+/** Carries out the commands of operators while this entry host has authority. */
+final class LibraryCommands implements AdministrationCommands {
+
+    private final EntryHost entryHost;
+
+    @Inject
+    LibraryCommands(EntryHost entryHost) {
+        this.entryHost = entryHost;
+    }
+
+    @Override
+    public CompletableFuture<TicketReceipt> fileTicket(String json) {
+        requireAuthority();
+        return entryHost
+                .tickets()
+                .file(json)
+                .thenApply(
+                        receipt -> {
+                            entryHost.announceConfiguration(receipt.version());
+                            return new TicketReceipt(
+                                    receipt.number(), receipt.version(), receipt.already());
+                        });
+    }
+
+    @Override
+    public CompletableFuture<PlaceReceipt> changeAvailabilityZone(String name, ServiceState state) {
+        return changePlace(PlaceKind.AVAILABILITY_ZONE, name, state);
+    }
+
+    @Override
+    public CompletableFuture<PlaceReceipt> changeHost(String name, ServiceState state) {
+        return changePlace(PlaceKind.HOST, name, state);
+    }
+
+    private CompletableFuture<PlaceReceipt> changePlace(
+            PlaceKind kind, String name, ServiceState state) {
+        requireAuthority();
+        return entryHost
+                .tickets()
+                .changePlace(kind, name, state)
+                .thenApply(
+                        receipt -> {
+                            entryHost.announceConfiguration(receipt.version());
+                            return new PlaceReceipt(
+                                    name, state, receipt.version(), receipt.already());
+                        });
+    }
+
+    private void requireAuthority() {
+        if (!entryHost.hasAuthority()) {
+            throw new ResultException(
+                    ResultCode.NO_AUTHORITY, "no majority of the entry hosts hears this one");
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/LibraryQueries.java
@@ -0,0 +1,159 @@
+package org.siskinramp.daemon;
+
+import jakarta.inject.Inject;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.siskinramp.daemon.administration.query.AdministrationQueries;
+import org.siskinramp.daemon.administration.query.HostStatus;
+import org.siskinramp.daemon.administration.query.PeerStatus;
+import org.siskinramp.daemon.administration.query.RequestHistory;
+import org.siskinramp.daemon.administration.query.RequestVerdict;
+import org.siskinramp.daemon.administration.query.ServiceStatus;
+import org.siskinramp.daemon.administration.query.TicketDetail;
+import org.siskinramp.daemon.administration.query.TicketSummary;
+import org.siskinramp.daemon.settings.Settings;
+import org.siskinramp.host.EntryHost;
+import org.siskinramp.host.HostIdentity;
+import org.siskinramp.membership.Member;
+import org.siskinramp.membership.PeerVersion;
+import org.siskinramp.request.RequestKey;
+import org.siskinramp.ticket.FiledTicket;
+
+/** Answers operators and support engineers from what this entry host knows. */
+final class LibraryQueries implements AdministrationQueries {
+
+    private static final int PAGE_TICKETS = 1_000;
+    private static final long NEVER_HEARD = -1;
+
+    private final HostIdentity identity;
+    private final EntryHost entryHost;
+    private final long leaseMilliseconds;
+
+    @Inject
+    LibraryQueries(HostIdentity identity, EntryHost entryHost, Settings settings) {
+        this.identity = identity;
+        this.entryHost = entryHost;
+        this.leaseMilliseconds = settings.control().leaseMilliseconds();
+    }
+
+    @Override
+    public CompletableFuture<List<TicketSummary>> tickets() {
+        return ticketsAfter(0, List.of());
+    }
+
+    private CompletableFuture<List<TicketSummary>> ticketsAfter(
+            long number, List<TicketSummary> before) {
+        return entryHost
+                .tickets()
+                .list(number, PAGE_TICKETS)
+                .thenCompose(
+                        page -> {
+                            List<TicketSummary> all = new ArrayList<>(before);
+                            page.forEach(ticket -> all.add(summary(ticket)));
+                            return page.size() < PAGE_TICKETS
+                                    ? CompletableFuture.completedFuture(all)
+                                    : ticketsAfter(page.get(page.size() - 1).number(), all);
+                        });
+    }
+
+    private static TicketSummary summary(FiledTicket ticket) {
+        return new TicketSummary(ticket.number(), ticket.version(), ticket.filedMilliseconds());
+    }
+
+    @Override
+    public CompletableFuture<TicketDetail> ticket(long number) {
+        return entryHost.tickets().show(number).thenApply(this::detail);
+    }
+
+    private TicketDetail detail(FiledTicket ticket) {
+        List<String> inForce = new ArrayList<>();
+        List<String> pending = new ArrayList<>();
+        List<String> silent = new ArrayList<>();
+        addTo(
+                entryHost.configuration().version() >= ticket.version() ? inForce : pending,
+                identity.name());
+        for (PeerStatus peer : peers()) {
+            if (peer.suspected()) {
+                addTo(silent, peer.host());
+            } else if (peer.configurationVersion() >= ticket.version()) {
+                addTo(inForce, peer.host());
+            } else {
+                addTo(pending, peer.host());
+            }
+        }
+        return new TicketDetail(summary(ticket), ticket.content(), inForce, pending, silent);
+    }
+
+    private static void addTo(List<String> hosts, String host) {
+        hosts.add(host);
+    }
+
+    private List<PeerStatus> peers() {
+        Map<String, PeerVersion> heard =
+                entryHost.membership().configurationVersions().stream()
+                        .collect(Collectors.toMap(PeerVersion::host, Function.identity()));
+        return entryHost.membership().peers().stream()
+                .map(Member::name)
+                .map(name -> peerStatus(name, heard.get(name)))
+                .toList();
+    }
+
+    private PeerStatus peerStatus(String name, PeerVersion heard) {
+        if (heard == null) {
+            return new PeerStatus(name, NEVER_HEARD, true, 0);
+        }
+        return new PeerStatus(
+                name,
+                heard.ageMilliseconds(),
+                heard.ageMilliseconds() >= leaseMilliseconds,
+                heard.configurationVersion());
+    }
+
+    @Override
+    public CompletableFuture<RequestHistory> request(RequestKey key) {
+        return CompletableFuture.completedFuture(
+                new RequestHistory(
+                        key.caller(),
+                        key.requestId(),
+                        RequestVerdict.NO_RECORD,
+                        "this version keeps no journal of requests",
+                        0,
+                        List.of(),
+                        List.of()));
+    }
+
+    @Override
+    public CompletableFuture<HostStatus> status() {
+        List<ServiceStatus> services =
+                entryHost.work().stream()
+                        .map(
+                                work ->
+                                        new ServiceStatus(
+                                                work.service(),
+                                                work.heldSlots(),
+                                                work.busySlots(),
+                                                work.waitingRequests()))
+                        .toList();
+        return CompletableFuture.completedFuture(
+                new HostStatus(
+                        identity.name(),
+                        identity.availabilityZone(),
+                        identity.incarnation(),
+                        isReady(),
+                        entryHost.hasAuthority(),
+                        entryHost.configuration().version(),
+                        entryHost.membership().view().version(),
+                        entryHost.requestsInProgress(),
+                        peers(),
+                        services));
+    }
+
+    @Override
+    public boolean isReady() {
+        return entryHost.isReady();
+    }
+}
--- a/daemon/src/main/java/org/siskinramp/daemon/administration/AdministrationRoutes.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/administration/AdministrationRoutes.java
@@ -5,7 +5,6 @@
 import java.util.function.Supplier;
 import org.siskinramp.configuration.ServiceState;
 import org.siskinramp.daemon.administration.command.AdministrationCommands;
-import org.siskinramp.daemon.administration.command.TicketReceipt;
 import org.siskinramp.daemon.administration.query.AdministrationQueries;
 import org.siskinramp.daemon.metrics.Metrics;
 import org.siskinramp.log.EventLog;
@@ -117,17 +116,17 @@
     }
 
     private Optional<CompletableFuture<ApiAnswer>> command(
-            ApiRequest request, Supplier<CompletableFuture<TicketReceipt>> action) {
+            ApiRequest request, Supplier<? extends CompletableFuture<?>> action) {
+        CompletableFuture<?> result = action.get();
         return Optional.of(
-                action.get()
-                        .whenComplete((receipt, failure) -> logCommand(request, receipt, failure))
+                result.whenComplete((receipt, failure) -> logCommand(request, receipt, failure))
                         .thenApply(ApiAnswer::json));
     }
 
-    private void logCommand(ApiRequest request, TicketReceipt receipt, Throwable failure) {
+    private void logCommand(ApiRequest request, Object receipt, Throwable failure) {
         LogEvent event = LogEvent.named("administration_command").with("request", request);
         if (failure == null) {
-            event.with("code", ResultCode.ACCEPTED.number()).with("ticket", receipt.number());
+            event.with("code", ResultCode.ACCEPTED.number()).with("receipt", receipt);
         } else {
             ResultException result = ResultException.from(failure);
             event.with("code", result.code().number()).with("detail", result.getMessage());
--- a/daemon/src/main/java/org/siskinramp/daemon/administration/command/AdministrationCommands.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/administration/command/AdministrationCommands.java
@@ -18,20 +18,20 @@
     CompletableFuture<TicketReceipt> fileTicket(String json);
 
     /**
-     * Files a ticket that takes an availability zone out of service or brings it back.
+     * Takes an availability zone out of service or brings it back.
      *
      * @param name the availability zone
      * @param state the new state
      * @return the receipt
      */
-    CompletableFuture<TicketReceipt> changeAvailabilityZone(String name, ServiceState state);
+    CompletableFuture<PlaceReceipt> changeAvailabilityZone(String name, ServiceState state);
 
     /**
-     * Files a ticket that takes a host out of service or brings it back.
+     * Takes a host out of service or brings it back.
      *
      * @param name the host
      * @param state the new state
      * @return the receipt
      */
-    CompletableFuture<TicketReceipt> changeHost(String name, ServiceState state);
+    CompletableFuture<PlaceReceipt> changeHost(String name, ServiceState state);
 }
--- a/daemon/src/main/java/org/siskinramp/daemon/administration/query/HostStatus.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/administration/query/HostStatus.java
@@ -12,6 +12,7 @@
  * @param authority whether it may use the slots that it holds
  * @param configurationVersion the configuration that it acts on
  * @param viewVersion the membership version that it acts on
+ * @param requestsInProgress requests that have not ended, waiting ones too
  * @param peers the other entry hosts
  * @param services the work of each service
  */
@@ -23,6 +24,7 @@
         boolean authority,
         long configurationVersion,
         long viewVersion,
+        int requestsInProgress,
         List<PeerStatus> peers,
         List<ServiceStatus> services) {
 
@@ -36,6 +38,7 @@
      * @param authority whether it may use its slots
      * @param configurationVersion the configuration version
      * @param viewVersion the membership version
+     * @param requestsInProgress requests that have not ended
      * @param peers the other entry hosts
      * @param services the work of each service
      */
--- a/daemon/src/main/java/org/siskinramp/daemon/administration/query/TicketSummary.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/administration/query/TicketSummary.java
@@ -5,11 +5,7 @@
  *
  * @param number the ticket's number
  * @param configurationVersion the configuration version that it made
- * @param filedAtHost the entry host that accepted it
  * @param filedCalendarMilliseconds when it was accepted, in milliseconds since 1970
  */
 public record TicketSummary(
-        long number,
-        long configurationVersion,
-        String filedAtHost,
-        long filedCalendarMilliseconds) {}
+        long number, long configurationVersion, long filedCalendarMilliseconds) {}
--- a/daemon/src/main/java/org/siskinramp/daemon/commandline/PlaceCommand.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/commandline/PlaceCommand.java
@@ -32,6 +32,6 @@
 
     @Override
     String describe(String body) {
-        return ReceiptLine.of(body);
+        return ReceiptLine.ofPlace(body);
     }
 }
--- a/daemon/src/main/java/org/siskinramp/daemon/commandline/StatusCommand.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/commandline/StatusCommand.java
@@ -32,7 +32,8 @@
                         .with("ready", status.ready())
                         .with("authority", status.authority())
                         .with("configuration_version", status.configurationVersion())
-                        .with("view_version", status.viewVersion()));
+                        .with("view_version", status.viewVersion())
+                        .with("requests_in_progress", status.requestsInProgress()));
     }
 
     private static String peerLine(PeerStatus peer) {
--- a/daemon/src/main/java/org/siskinramp/daemon/commandline/TicketFileCommand.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/commandline/TicketFileCommand.java
@@ -20,7 +20,7 @@
 
     @Override
     String describe(String body) {
-        return ReceiptLine.of(body);
+        return ReceiptLine.ofTicket(body);
     }
 
     private String readTicket() {
--- a/daemon/src/main/java/org/siskinramp/daemon/commandline/TicketLine.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/commandline/TicketLine.java
@@ -14,7 +14,6 @@
                 LogEvent.named("ticket")
                         .with("number", ticket.number())
                         .with("configuration_version", ticket.configurationVersion())
-                        .with("filed_at_host", ticket.filedAtHost())
                         .with("filed", Instant.ofEpochMilli(ticket.filedCalendarMilliseconds())));
     }
 }
--- a/daemon/src/main/java/org/siskinramp/daemon/metrics/Metrics.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/metrics/Metrics.java
@@ -13,11 +13,12 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.DoubleSupplier;
+import org.siskinramp.daemon.peer.PeerTraffic;
 import org.siskinramp.log.Counter;
 import org.siskinramp.log.Counters;
 
 /** Holds the metrics of one entry host. */
-public final class Metrics implements Counters, Gauges {
+public final class Metrics implements Counters, Gauges, PeerTraffic {
 
     /** The media type of {@link #exposition()}. */
     public static final String CONTENT_TYPE = PrometheusTextFormatWriter.CONTENT_TYPE;
@@ -27,9 +28,17 @@
     private final Map<Counter, io.prometheus.metrics.core.metrics.Counter> counters =
             new EnumMap<>(Counter.class);
 
+    private final io.prometheus.metrics.core.metrics.Counter peerMessageBytes;
+    private final io.prometheus.metrics.core.metrics.Counter peerMessages;
+
     /** Creates metrics in which every counter is zero, and adds those of the JVM. */
     public Metrics() {
         Arrays.stream(Counter.values()).forEach(this::addCounter);
+        peerMessages = peerCounter("siskinramp_peer_messages", "Messages between entry hosts.");
+        peerMessageBytes =
+                peerCounter(
+                        "siskinramp_peer_message_bytes",
+                        "Bytes of messages between entry hosts, with their length fields.");
         JvmMetrics.builder().register(registry);
     }
 
@@ -38,6 +47,13 @@
         counters.get(counter).inc(amount);
     }
 
+    @Override
+    public void count(Direction direction, String messageType, int bytes) {
+        String way = direction.name().toLowerCase(Locale.ROOT);
+        peerMessages.labelValues(way, messageType).inc();
+        peerMessageBytes.labelValues(way, messageType).inc(bytes);
+    }
+
     @Override
     public void register(String name, String help, DoubleSupplier value) {
         GaugeWithCallback.builder()
@@ -62,6 +78,14 @@
         return output.toByteArray();
     }
 
+    private io.prometheus.metrics.core.metrics.Counter peerCounter(String name, String help) {
+        return io.prometheus.metrics.core.metrics.Counter.builder()
+                .name(name)
+                .help(help)
+                .labelNames("direction", "type")
+                .register(registry);
+    }
+
     private void addCounter(Counter counter) {
         counters.put(
                 counter,
--- a/daemon/src/main/java/org/siskinramp/daemon/settings/Settings.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/Settings.java
@@ -91,12 +91,14 @@
      * @param heartbeatIntervalMilliseconds the time between heartbeats
      * @param leaseMilliseconds how long the acknowledgement of a heartbeat holds
      * @param configurationPollMilliseconds the time between looks for a newer configuration
+     * @param drainMilliseconds how long a stopping host that is not ready still takes new requests
      * @param stopTimeoutMilliseconds how long a graceful stop may take
      */
     public record Control(
             int heartbeatIntervalMilliseconds,
             int leaseMilliseconds,
             int configurationPollMilliseconds,
+            int drainMilliseconds,
             int stopTimeoutMilliseconds) {}
 
     /**
--- a/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsReader.java
@@ -121,10 +121,13 @@
                         section.integer("heartbeat_interval_ms", 10, 60_000, 500),
                         section.integer("lease_ms", 40, 600_000, 2_000),
                         section.integer("configuration_poll_ms", 100, 60_000, 1_000),
+                        section.integer("drain_ms", 0, 600_000, 1_000),
                         section.integer("stop_timeout_ms", 0, HOUR_MILLISECONDS, 30_000));
-        if (control.leaseMilliseconds() < 2 * control.heartbeatIntervalMilliseconds()) {
+        if (control.leaseMilliseconds() < 3 * control.heartbeatIntervalMilliseconds()) {
             section.addFault(
-                    "lease_ms", "the lease is too short", "at least twice heartbeat_interval_ms");
+                    "lease_ms",
+                    "the lease is too short",
+                    "at least three times heartbeat_interval_ms");
         }
         section.close();
         return control;
