Bind the use of warm slots to one start of the backend server

Cause: when a server restarts while idle, no host has a request there that would break, so several homes could each send one at once to a server that bears only one. Words on warmth said how many slots are usable but not of which start. Loans carry it too. A host that does not know which start the judge means asks to have it named. Ruled out: naming every warm server in every heartbeat, about 1 KB/s and host at 16 members, against a budget of 4 KB/s in all.

--- a/daemon/src/test/java/org/siskinramp/daemon/backend/JettyBackendServerLinkTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/backend/JettyBackendServerLinkTest.java
@@ -246,7 +246,7 @@
                         .body("valve 9".getBytes(StandardCharsets.UTF_8))
                         .contentHash("00")
                         .build();
-        return new Attempt(number, request, backendServer(), now + 500, false, permission);
+        return new Attempt(number, request, backendServer(), now + 500, false, "", permission);
     }
 
     private BackendServer backendServer() {
--- a/library/src/main/java/org/siskinramp/attempt/Attempt.java
+++ b/library/src/main/java/org/siskinramp/attempt/Attempt.java
@@ -13,6 +13,7 @@
     private final BackendServer backendServer;
     private final long deadlineMilliseconds;
     private final boolean cold;
+    private final String expectedBootIdentity;
     private final BooleanSupplier permission;
 
     /**
@@ -24,6 +25,8 @@
      * @param deadlineMilliseconds when the attempt is given up, in monotonic milliseconds; the
      *     backend server is told the time that is left
      * @param cold whether the server is in its cold start
+     * @param expectedBootIdentity the start of the server that must get the request, or an empty
+     *     string if any may
      * @param permission asked at the last moment before the first byte goes out; if it answers
      *     false nothing may be sent
      */
@@ -33,12 +36,15 @@
             BackendServer backendServer,
             long deadlineMilliseconds,
             boolean cold,
+            String expectedBootIdentity,
             BooleanSupplier permission) {
         this.number = number;
         this.request = Objects.requireNonNull(request, "request");
         this.backendServer = Objects.requireNonNull(backendServer, "backendServer");
         this.deadlineMilliseconds = deadlineMilliseconds;
         this.cold = cold;
+        this.expectedBootIdentity =
+                Objects.requireNonNull(expectedBootIdentity, "expectedBootIdentity");
         this.permission = Objects.requireNonNull(permission, "permission");
     }
 
@@ -87,6 +93,17 @@
         return cold;
     }
 
+    /**
+     * Returns which start of the server must get the request. A link makes sure of it before it
+     * sends: on a connection that has not yet shown which start it leads to it asks first, and
+     * fails with {@link AttemptFailure#NOT_PERMITTED} and the load report if it is another one.
+     *
+     * @return the boot identity, or an empty string if any start may get it
+     */
+    public String expectedBootIdentity() {
+        return expectedBootIdentity;
+    }
+
     /**
      * Tells, at the moment of the call, whether the attempt may still be sent.
      *
--- a/library/src/main/java/org/siskinramp/host/WarmthWords.java
+++ b/library/src/main/java/org/siskinramp/host/WarmthWords.java
@@ -10,6 +10,7 @@
 import org.siskinramp.membership.HeartbeatContribution;
 import org.siskinramp.membership.Membership;
 import org.siskinramp.peer.Acknowledgement;
+import org.siskinramp.peer.AllowanceAsk;
 import org.siskinramp.peer.AllowanceChange;
 import org.siskinramp.peer.ColdSighting;
 import org.siskinramp.peer.ConfigurationNotice;
@@ -146,6 +147,14 @@
         sendToPeers(new ColdSighting(backendServer, bootIdentity));
     }
 
+    @Override
+    public void askForWord(String backendServer) {
+        membership
+                .home(new SlotKey(backendServer, 0))
+                .filter(host -> !host.equals(identity.name()))
+                .ifPresent(host -> peerSender.send(host, new AllowanceAsk(backendServer)));
+    }
+
     private void sendToPeers(PeerMessage message) {
         membership.peers().forEach(peer -> peerSender.send(peer.name(), message));
     }
--- a/library/src/main/java/org/siskinramp/peer/LoanGrant.java
+++ b/library/src/main/java/org/siskinramp/peer/LoanGrant.java
@@ -32,6 +32,12 @@
      * @param backendServer the backend server
      * @param index the index of the slot
      * @param termMilliseconds how long the borrower may start requests there, in milliseconds
+     * @param bootIdentity the start of the backend server that is lent, or an empty string
      */
-    public record Loan(long loanNumber, String backendServer, int index, long termMilliseconds) {}
+    public record Loan(
+            long loanNumber,
+            String backendServer,
+            int index,
+            long termMilliseconds,
+            String bootIdentity) {}
 }
--- a/library/src/main/java/org/siskinramp/routing/Dispatcher.java
+++ b/library/src/main/java/org/siskinramp/routing/Dispatcher.java
@@ -202,6 +202,7 @@
                         server.backendServer(),
                         deadline,
                         !server.warmth().isWarm(),
+                        state.expectedBootIdentity(slot, server),
                         () -> isPermitted(slot, server, deadline));
         state.environment().counters().add(Counter.ATTEMPTS);
         logRoute(run, slot, server, number, reason);
--- a/library/src/main/java/org/siskinramp/routing/LoanDesk.java
+++ b/library/src/main/java/org/siskinramp/routing/LoanDesk.java
@@ -156,10 +156,13 @@
                         + term
                         + state.service().timeLimitMilliseconds()
                         + state.options().slotMarginMilliseconds();
+        ServerState server = state.servers().get(slot.key().backendServer());
+        String boot = server.warmth().bootIdentity();
         slot.lend(borrower, busyUntil);
         lent.put(number, slot);
         logLoan("loan_granted", slot.key(), borrower);
-        return new LoanGrant.Loan(number, slot.key().backendServer(), slot.key().index(), term);
+        return new LoanGrant.Loan(
+                number, slot.key().backendServer(), slot.key().index(), term, boot);
     }
 
     private void logLoan(String event, SlotKey slot, String host) {
@@ -190,7 +193,8 @@
             boolean known = ask != null && ask.lender.equals(lender);
             long usableUntil = known ? ask.sentAt + loan.termMilliseconds() : now;
             SlotKey key = new SlotKey(loan.backendServer(), loan.index());
-            Slot slot = Slot.borrowed(key, lender, loan.loanNumber(), usableUntil);
+            Slot slot =
+                    Slot.borrowed(key, lender, loan.loanNumber(), usableUntil, loan.bootIdentity());
             if (now >= usableUntil || !state.slots().borrow(slot)) {
                 useless.add(loan.loanNumber());
             }
--- a/library/src/main/java/org/siskinramp/routing/ServerObserver.java
+++ b/library/src/main/java/org/siskinramp/routing/ServerObserver.java
@@ -46,6 +46,13 @@
          */
         void tellSighting(String backendServer, String bootIdentity);
 
+        /**
+         * Asks the judge of a server to name it in its next heartbeats.
+         *
+         * @param backendServer the server
+         */
+        void askForWord(String backendServer);
+
         /**
          * Reports the end of a probe.
          *
@@ -207,18 +214,29 @@
     }
 
     /**
-     * Sends the probes that are due and repeats sightings that the judge has not answered.
+     * Names a judged server in the next heartbeats.
+     *
+     * @param backendServer the server
+     */
+    void nameServer(String backendServer) {
+        ServerState server = state.servers().get(backendServer);
+        if (server != null) {
+            server.nameUntil(state.now() + state.options().warmth().wordLifetimeMilliseconds());
+        }
+    }
+
+    /**
+     * Sends the probes that are due and asks for the words that are missing.
      *
      * @param effects what happens outside the lock
      */
     void watch(Effects effects) {
         long now = state.now();
         for (ServerState server : state.servers().values()) {
-            if (server.warmth().isSightingOpen()
-                    && server.isProbeDue(now, state.options().probeIntervalMilliseconds())) {
-                server.beginProbe(now);
-                server.endProbe();
-                tell(server, effects);
+            if (server.warmth().needsWord(now) && server.isWordAskDue(now)) {
+                server.askedForWord(now);
+                String name = server.backendServer().name();
+                effects.add(() -> words.askForWord(name));
             }
             if (server.warmth().isJudge() && server.takesNewWork()) {
                 long interval =
@@ -282,13 +300,13 @@
         for (ServerAllowance word : explicit) {
             ServerState server = state.servers().get(word.backendServer());
             if (server != null) {
-                server.warmth().hearWord(word.allowance(), true, given);
+                server.warmth().hearWord(word.allowance(), word.bootIdentity(), given);
             }
         }
         for (String name : implicit) {
             ServerState server = state.servers().get(name);
             if (server != null) {
-                server.warmth().hearWord(server.backendServer().slots(), false, given);
+                server.warmth().hearStillWarm(given);
             }
         }
     }
--- a/library/src/main/java/org/siskinramp/routing/ServerState.java
+++ b/library/src/main/java/org/siskinramp/routing/ServerState.java
@@ -12,6 +12,7 @@
 
     private static final long BROKEN_REQUEST_MEMORY_MILLISECONDS = 10_000;
     private static final int BROKEN_REQUESTS_KEPT = 100;
+    private static final long WORD_ASK_INTERVAL_MILLISECONDS = 400;
 
     private final ServerHealth health;
     private final ServerWarmth warmth;
@@ -22,6 +23,8 @@
     private long heardAt;
     private long probedAt;
     private boolean probing;
+    private long askedForWordAt = Long.MIN_VALUE / 2;
+    private long namedUntil = Long.MIN_VALUE;
     private final List<BrokenRequest> brokenRequests = new ArrayList<>();
 
     ServerState(
@@ -109,6 +112,27 @@
         return !probing && now - Math.max(heardAt, probedAt) >= intervalMilliseconds;
     }
 
+    boolean isWordAskDue(long now) {
+        return now - askedForWordAt >= WORD_ASK_INTERVAL_MILLISECONDS;
+    }
+
+    void askedForWord(long now) {
+        askedForWordAt = now;
+    }
+
+    /**
+     * Makes heartbeats name this server although it is warm.
+     *
+     * @param until monotonic milliseconds
+     */
+    void nameUntil(long until) {
+        namedUntil = until;
+    }
+
+    boolean isNamed(long now) {
+        return now < namedUntil;
+    }
+
     void beginProbe(long now) {
         probing = true;
         probedAt = now;
--- a/library/src/main/java/org/siskinramp/routing/ServiceRouter.java
+++ b/library/src/main/java/org/siskinramp/routing/ServiceRouter.java
@@ -193,6 +193,15 @@
         locked(effects -> observer.hearSighting(backendServer, bootIdentity, effects));
     }
 
+    /**
+     * Names a server in the next heartbeats, if this host judges it.
+     *
+     * @param backendServer the server
+     */
+    public void nameServer(String backendServer) {
+        locked(effects -> observer.nameServer(backendServer));
+    }
+
     /**
      * Follows the words of another host that judges servers.
      *
@@ -272,7 +281,7 @@
                                             server.backendServer().name(),
                                             server.warmth().judgedAllowance(),
                                             server.warmth().bootIdentity()),
-                                    server.warmth().isWarm()));
+                                    server.warmth().isWarm() && !server.isNamed(state.now())));
                 }
             }
             return judged;
@@ -285,7 +294,7 @@
      * Describes a server that this host judges.
      *
      * @param allowance its allowance
-     * @param warm whether all its slots are usable
+     * @param warm whether all its slots are usable and no host has asked for it to be named
      */
     public record JudgedServer(ServerAllowance allowance, boolean warm) {}
 
@@ -306,6 +315,13 @@
          * @param bootIdentity the boot identity that was seen, or an empty string
          */
         void tellSighting(String backendServer, String bootIdentity);
+
+        /**
+         * Asks the judge of a server to name it in its next heartbeats.
+         *
+         * @param backendServer the server
+         */
+        void askForWord(String backendServer);
     }
 
     private void locked(Consumer<Effects> command) {
@@ -364,6 +380,11 @@
             words.tellSighting(backendServer, bootIdentity);
         }
 
+        @Override
+        public void askForWord(String backendServer) {
+            words.askForWord(backendServer);
+        }
+
         @Override
         public void probed(String backendServer, LoadReport report) {
             locked(
--- a/library/src/main/java/org/siskinramp/routing/ServiceRouters.java
+++ b/library/src/main/java/org/siskinramp/routing/ServiceRouters.java
@@ -13,6 +13,7 @@
 import org.siskinramp.configuration.BackendServer;
 import org.siskinramp.configuration.Configuration;
 import org.siskinramp.configuration.Service;
+import org.siskinramp.peer.AllowanceAsk;
 import org.siskinramp.peer.AllowanceChange;
 import org.siskinramp.peer.ColdSighting;
 import org.siskinramp.peer.LoanAsk;
@@ -115,6 +116,8 @@
                     sighting.backendServer(),
                     router ->
                             router.hearSighting(sighting.backendServer(), sighting.bootIdentity()));
+        } else if (message instanceof AllowanceAsk ask) {
+            ofServer(ask.backendServer(), router -> router.nameServer(ask.backendServer()));
         } else {
             return false;
         }
--- a/library/src/main/java/org/siskinramp/routing/ServiceState.java
+++ b/library/src/main/java/org/siskinramp/routing/ServiceState.java
@@ -154,7 +154,7 @@
         return server != null
                 && server.takesNewWork()
                 && server.health().isEligible(now)
-                && slot.key().index() < server.warmth().allowance(now);
+                && (slot.isBorrowed() || slot.key().index() < server.warmth().allowance(now));
     }
 
     /**
@@ -192,6 +192,22 @@
                 && server.warmth().judgedAllowance() == 1;
     }
 
+    /**
+     * Tells which start of the server a request in a slot must reach. A slot that a cold server
+     * bears may be used with any start.
+     *
+     * @param slot the slot
+     * @param server its server
+     * @return the boot identity, or an empty string
+     */
+    String expectedBootIdentity(Slot slot, ServerState server) {
+        if (slot.isBorrowed()) {
+            return slot.bootIdentity();
+        }
+        boolean coldSlot = slot.key().index() < server.backendServer().coldSlots();
+        return coldSlot || !options.areSlotsOwned() ? "" : server.warmth().bootIdentity();
+    }
+
     private List<Slot> unownedSlots(long now) {
         return servers.values().stream()
                 .filter(server -> server.takesNewWork() && server.health().isEligible(now))
--- a/library/src/main/java/org/siskinramp/routing/Slot.java
+++ b/library/src/main/java/org/siskinramp/routing/Slot.java
@@ -21,16 +21,19 @@
     private final String lender;
     private final long loanNumber;
     private final long usableUntil;
+    private final String bootIdentity;
     private volatile boolean held = true;
     private Use use = Use.IDLE;
     private long useEnds;
     private String borrower;
 
-    private Slot(SlotKey key, String lender, long loanNumber, long usableUntil) {
+    private Slot(
+            SlotKey key, String lender, long loanNumber, long usableUntil, String bootIdentity) {
         this.key = key;
         this.lender = lender;
         this.loanNumber = loanNumber;
         this.usableUntil = usableUntil;
+        this.bootIdentity = bootIdentity;
     }
 
     /**
@@ -40,7 +43,7 @@
      * @return an idle slot
      */
     static Slot own(SlotKey key) {
-        return new Slot(key, null, 0, Long.MAX_VALUE);
+        return new Slot(key, null, 0, Long.MAX_VALUE, "");
     }
 
     /**
@@ -50,10 +53,12 @@
      * @param lender the lending host
      * @param loanNumber the lender's number of the loan
      * @param usableUntil until when requests may start, in monotonic milliseconds
+     * @param bootIdentity the start of the server that is lent
      * @return an idle slot
      */
-    static Slot borrowed(SlotKey key, String lender, long loanNumber, long usableUntil) {
-        return new Slot(key, lender, loanNumber, usableUntil);
+    static Slot borrowed(
+            SlotKey key, String lender, long loanNumber, long usableUntil, String bootIdentity) {
+        return new Slot(key, lender, loanNumber, usableUntil, bootIdentity);
     }
 
     SlotKey key() {
@@ -72,6 +77,11 @@
         return loanNumber;
     }
 
+    /** Returns which start of the server was lent. */
+    String bootIdentity() {
+        return bootIdentity;
+    }
+
     long usableUntil() {
         return usableUntil;
     }
--- a/library/src/main/java/org/siskinramp/warmth/ServerWarmth.java
+++ b/library/src/main/java/org/siskinramp/warmth/ServerWarmth.java
@@ -23,8 +23,9 @@
     private long stepSince;
     private long closedUntil;
     private long wordUntil = Long.MIN_VALUE;
+    private boolean wordKnown;
+    private long sightedAt = Long.MIN_VALUE;
     private boolean sighted;
-    private long sightedAt;
     private boolean closed;
     private String bootIdentity = "";
     private int slowInARow;
@@ -70,13 +71,22 @@
      * @param now monotonic milliseconds
      */
     public void setJudge(boolean value, long now) {
-        if (value && !judge && (sighted || now >= wordUntil)) {
+        if (value == judge) {
+            return;
+        }
+        boolean wordHolds = hasWord(now);
+        judge = value;
+        if (value && !wordHolds) {
             startCold(now);
         }
-        if (!value && judge) {
+        if (!value) {
+            wordKnown = true;
             wordUntil = now + options.wordLifetimeMilliseconds();
         }
-        judge = value;
+    }
+
+    private boolean hasWord(long now) {
+        return wordKnown && !sighted && now < wordUntil;
     }
 
     /**
@@ -92,7 +102,7 @@
         if (judge) {
             return allowance;
         }
-        return sighted || now >= wordUntil ? 0 : allowance;
+        return hasWord(now) ? allowance : 0;
     }
 
     /**
@@ -148,40 +158,56 @@
     }
 
     /**
-     * Tells whether this host saw a cold start that the judge has not answered yet.
+     * Tells whether this host lacks the judge's word.
      *
-     * @return true while the judge must be told
+     * @param now monotonic milliseconds
+     * @return true while the judge must be asked
      */
-    public boolean isSightingOpen() {
-        return sighted && !judge;
+    public boolean needsWord(long now) {
+        return !judge && !hasWord(now);
     }
 
     /**
-     * Returns the boot identity last seen.
+     * Returns the start of the server that the allowance is about. A request in a slot that only a
+     * warm server bears must reach this start and no other.
      *
-     * @return the identity, or an empty string
+     * @return the boot identity, or an empty string if it is not known
      */
     public String bootIdentity() {
         return bootIdentity;
     }
 
     /**
-     * Follows the judge's word. A judge ignores it.
+     * Follows the judge's word on a start of the server. A judge ignores it.
      *
      * @param judgedAllowance the number of usable slots
-     * @param explicit whether the word names this server, rather than leaving it out as warm
+     * @param judgedBoot the start of the server that the word is about
      * @param given a time, in monotonic milliseconds of this host, that the word is not older than
      */
-    public void hearWord(int judgedAllowance, boolean explicit, long given) {
-        if (judge || (sighted && !(explicit && given >= sightedAt))) {
+    public void hearWord(int judgedAllowance, String judgedBoot, long given) {
+        if (judge || given < sightedAt) {
             return;
         }
         sighted = false;
         closed = false;
+        wordKnown = true;
+        bootIdentity = judgedBoot;
         allowance = Math.min(judgedAllowance, slots);
         wordUntil = Math.max(wordUntil, given + options.wordLifetimeMilliseconds());
     }
 
+    /**
+     * Follows the judge's word that the server is still warm. It counts only if an earlier word
+     * told which start of the server is meant.
+     *
+     * @param given a time, in monotonic milliseconds of this host, that the word is not older than
+     */
+    public void hearStillWarm(long given) {
+        if (wordKnown && !sighted) {
+            hearWord(slots, bootIdentity, given);
+        }
+    }
+
     /**
      * Follows a word of unknown age: it can only lower the allowance.
      *
@@ -204,12 +230,14 @@
         if (seen.isEmpty() || seen.equals(bootIdentity)) {
             return false;
         }
-        boolean known = !bootIdentity.isEmpty();
-        bootIdentity = seen;
-        if (known) {
+        boolean another = !bootIdentity.isEmpty();
+        if (judge || another) {
+            bootIdentity = seen;
+        }
+        if (another) {
             startCold(now);
         }
-        return known;
+        return another;
     }
 
     /**
@@ -263,6 +291,7 @@
         usualLatency = null;
         closed = false;
         closedUntil = now + options.settleMilliseconds();
+        wordKnown = false;
         sighted = !judge;
         sightedAt = now;
     }
--- a/library/src/test/java/org/siskinramp/routing/FakeServers.java
+++ b/library/src/test/java/org/siskinramp/routing/FakeServers.java
@@ -84,6 +84,12 @@
             fail(entry, AttemptFailure.LEAVING);
             return;
         }
+        String expected = entry.attempt.expectedBootIdentity();
+        if (!expected.isEmpty() && !expected.equals(server.report().bootIdentity())) {
+            entry.result.completeExceptionally(
+                    new AttemptException(AttemptFailure.NOT_PERMITTED, server.report(), "boot"));
+            return;
+        }
         entry.server = server;
         entry.boot = server.boot;
         server.inProgress++;
--- a/library/src/test/java/org/siskinramp/routing/RoutingCell.java
+++ b/library/src/test/java/org/siskinramp/routing/RoutingCell.java
@@ -13,6 +13,7 @@
 import org.siskinramp.configuration.Place;
 import org.siskinramp.configuration.Service;
 import org.siskinramp.configuration.ServiceState;
+import org.siskinramp.peer.AllowanceAsk;
 import org.siskinramp.peer.AllowanceChange;
 import org.siskinramp.peer.ColdSighting;
 import org.siskinramp.peer.PeerMessage;
@@ -127,6 +128,12 @@
                                                 host,
                                                 new ColdSighting(backendServer, bootIdentity)));
             }
+
+            @Override
+            public void askForWord(String backendServer) {
+                hosts.keySet()
+                        .forEach(host -> deliver(from, host, new AllowanceAsk(backendServer)));
+            }
         };
     }
 
