Test surplus answers on connections to backend servers

Cause: a server may send an answer twice; the second must never reach the next request on that connection.

What must hold is that the next request gets its own answer, so the test asserts that; a surplus answer on an idle connection does close it, which a second test asserts. Not covered: a surplus answer that is cut in two, whose rest meets the next request; that request then fails as broken or crossed.

Conclusion: no change to the code.

--- a/daemon/src/test/java/org/siskinramp/daemon/backend/JettyBackendServerLinkTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/backend/JettyBackendServerLinkTest.java
@@ -144,6 +144,24 @@
         assertEquals(2, server.connections());
     }
 
+    @Test
+    void neverTakesASurplusAnswerForTheNextOne() throws Exception {
+        serve(WHOLE + WHOLE.replace("body", "late"));
+        dispatch(1).get(5, TimeUnit.SECONDS);
+        AttemptAnswer second = dispatch(2).get(5, TimeUnit.SECONDS);
+        assertEquals("body", new String(second.answer().body(), StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void closesAnIdleConnectionOnWhichAnAnswerComes() throws Exception {
+        serve(WHOLE);
+        dispatch(1).get(5, TimeUnit.SECONDS);
+        server.push(WHOLE.replace("body", "late"));
+        awaitEnded(1);
+        dispatch(2).get(5, TimeUnit.SECONDS);
+        assertEquals(2, server.connections());
+    }
+
     @Test
     void reportsAShortBody() throws Exception {
         serve(WHOLE.replace("body", "bo") + CLOSE);
--- a/daemon/src/test/java/org/siskinramp/daemon/exchange/ScriptedServer.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/exchange/ScriptedServer.java
@@ -63,6 +63,13 @@
         return ended.get();
     }
 
+    /** Writes to all connections without being asked. */
+    public void push(String text) throws IOException {
+        for (Socket socket : sockets) {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+    }
+
     private void accept() {
         try {
             while (true) {
