Bring the codec's test in line with the loans' new parts

Cause: LoanGrant.Loan now names the start of the server and LoanReturn its service. Change: the test's literals; the checks are the same.

--- a/daemon/src/test/java/org/siskinramp/daemon/peer/PeerCodecTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/peer/PeerCodecTest.java
@@ -48,8 +48,9 @@
                         9,
                         List.of(new ServiceSpare("dispatch", 6))));
         assertSame(
-                new LoanGrant(1, "dispatch", List.of(new LoanGrant.Loan(2, "d1", 0, 500, 4)), 3));
-        assertSame(new LoanReturn(List.of(1L, 2L)));
+                new LoanGrant(
+                        1, "dispatch", List.of(new LoanGrant.Loan(2, "d1", 0, 500, "b7")), 3));
+        assertSame(new LoanReturn("dispatch", List.of(1L, 2L)));
         assertSame(new SlotRelease(1, 2, true, List.of(new SlotRelease.ReleasedSlot("d1", 3))));
         assertSame(new ColdSighting("d1", ""));
     }
