--- a/library/src/main/java/org/siskinramp/host/EntryHost.java
+++ b/library/src/main/java/org/siskinramp/host/EntryHost.java
@@ -329,15 +329,6 @@
         return membership.holdings();
     }
 
-    /**
-     * Counts the claims whose end is not yet durable.
-     *
-     * @return the unsettled claims
-     */
-    public int unsettledClaims() {
-        return ledger.unsettled();
-    }
-
     /**
      * Describes the work of each service.
      *
--- a/library/src/main/java/org/siskinramp/ledger/ClaimLedger.java
+++ b/library/src/main/java/org/siskinramp/ledger/ClaimLedger.java
@@ -174,15 +174,6 @@
                         seen.deadlineMilliseconds() - parts.clock().monotonicMilliseconds()));
     }
 
-    /**
-     * Counts the claims that are open or whose end is not yet durable.
-     *
-     * @return the unsettled claims
-     */
-    public int unsettled() {
-        return table.size();
-    }
-
     /**
      * Keeps the answer of a request, so that later copies are given the same.
      *
--- a/library/src/main/java/org/siskinramp/ledger/ClaimTable.java
+++ b/library/src/main/java/org/siskinramp/ledger/ClaimTable.java
@@ -81,10 +81,6 @@
         }
     }
 
-    synchronized int size() {
-        return entries.size();
-    }
-
     synchronized boolean isFull() {
         return entries.size() >= limit;
     }
