--- a/stand-in/src/main/java/org/siskinramp/standin/caller/CallerLoad.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/caller/CallerLoad.java
@@ -53,9 +53,9 @@
     /**
      * Sends all requests, follows them up and asks the judges.
      *
-     * @return the reports: one for each kind and the total
+     * @return what became of each request and of each kind
      */
-    public CompletableFuture<List<LoadReport>> run() {
+    public CompletableFuture<LoadResult> run() {
         List<PlannedRequest> plan = LoadPlan.draw(settings);
         List<RequestRecord> records = plan.stream().map(RequestRecord::new).toList();
         List<CompletableFuture<Void>> copies = new ArrayList<>();
@@ -68,7 +68,7 @@
             }
         }
         return CompletableFuture.allOf(copies.toArray(CompletableFuture[]::new))
-                .thenApplyAsync(nothing -> reports(records));
+                .thenApplyAsync(nothing -> new LoadResult(reports(records), records));
     }
 
     @Override
--- a/stand-in/src/main/java/org/siskinramp/standin/caller/RequestRecord.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/caller/RequestRecord.java
@@ -1,7 +1,9 @@
 package org.siskinramp.standin.caller;
 
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Set;
+import org.siskinramp.log.LogEvent;
 
 /** Collects what became of all copies of a request. */
 final class RequestRecord {
@@ -11,15 +13,12 @@
     private Outcome outcome = Outcome.NOT_RUN;
     private boolean crossed;
     private long latencyMilliseconds = -1;
-    private int openCopies;
 
     RequestRecord(PlannedRequest request) {
         this.request = request;
-        openCopies = request.copies();
     }
 
     synchronized void add(CopyResult result, long sinceIntendedMilliseconds) {
-        openCopies--;
         outcome = outcome.strongest(result.outcome());
         crossed = crossed || result.crossed();
         if (result.outcome() == Outcome.ANSWERED) {
@@ -49,7 +48,13 @@
         return latencyMilliseconds;
     }
 
-    synchronized boolean isEnded() {
-        return openCopies == 0;
+    synchronized LogEvent toEvent() {
+        return LogEvent.named("request")
+                .with("caller", request.key().caller())
+                .with("request_id", request.key().requestId())
+                .with("kind", request.kind().name())
+                .with("copies", request.copies())
+                .with("outcome", outcome.name().toLowerCase(Locale.ROOT))
+                .with("latency_ms", latencyMilliseconds);
     }
 }
--- a/stand-in/src/main/java/org/siskinramp/standin/command/CallersCommand.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/command/CallersCommand.java
@@ -1,6 +1,10 @@
 package org.siskinramp.standin.command;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import org.kohsuke.args4j.Option;
 import org.siskinramp.log.EventLog;
@@ -9,6 +13,7 @@
 import org.siskinramp.standin.caller.CallerSettings;
 import org.siskinramp.standin.caller.LoadKind;
 import org.siskinramp.standin.caller.LoadReport;
+import org.siskinramp.standin.caller.LoadResult;
 import org.siskinramp.standin.http.Json;
 import org.siskinramp.time.SystemClock;
 
@@ -50,6 +55,9 @@
     @Option(name = "--follow-up-ms", usage = "how long to ask again for what is in progress")
     private long followUpMilliseconds = 10_000;
 
+    @Option(name = "--record", usage = "file to write a line for each request to")
+    private Path recordFile;
+
     @Option(name = "--json", usage = "write the report as JSON")
     private boolean json;
 
@@ -57,8 +65,9 @@
     public int run(EventLog output) {
         try (WorkerScheduler scheduler = new WorkerScheduler(THREADS);
                 CallerLoad load = new CallerLoad(settings(), new SystemClock(), scheduler)) {
-            List<LoadReport> reports = load.run().join();
-            write(reports, output);
+            LoadResult result = load.run().join();
+            write(result.reports(), output);
+            writeRecord(result);
         }
         return 0;
     }
@@ -72,6 +81,17 @@
         }
     }
 
+    private void writeRecord(LoadResult result) {
+        if (recordFile == null) {
+            return;
+        }
+        try {
+            Files.write(recordFile, result.lines());
+        } catch (IOException failure) {
+            throw new UncheckedIOException("cannot write " + recordFile, failure);
+        }
+    }
+
     private CallerSettings settings() {
         return new CallerSettings(
                 addresses(targets),
--- a/stand-in/src/main/java/org/siskinramp/standin/platform/HostList.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/platform/HostList.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.NavigableMap;
 import java.util.TreeMap;
+import org.siskinramp.platform.ListedHost;
 
 /** Keeps the list of entry hosts. */
 final class HostList {
@@ -41,5 +42,11 @@
             @JsonProperty(required = true) String name,
             @JsonProperty(required = true) String availabilityZone,
             @JsonProperty(required = true) String peerAddress,
-            boolean leaving) {}
+            boolean leaving) {
+
+        static Item of(ListedHost host) {
+            return new Item(
+                    host.name(), host.availabilityZone(), host.peerAddress(), host.leaving());
+        }
+    }
 }
--- a/stand-in/src/main/java/org/siskinramp/standin/platform/PlatformStandIn.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/platform/PlatformStandIn.java
@@ -42,6 +42,7 @@
         this.scheduler = scheduler;
         writeLimit = new RateLimit(clock, settings.writesPerSecond());
         readLimit = new RateLimit(clock, settings.readsPerSecond());
+        settings.hosts().stream().map(HostList.Item::of).forEach(hosts::put);
         service = HttpService.start(settings.address(), this::handle);
     }
 
--- a/stand-in/src/test/java/org/siskinramp/standin/caller/CallerLoadTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/caller/CallerLoadTest.java
@@ -76,8 +76,7 @@
                         resendShare,
                         1000);
         try (CallerLoad load = new CallerLoad(settings, new SystemClock(), scheduler)) {
-            List<LoadReport> reports = load.run().join();
-            return reports.get(reports.size() - 1);
+            return load.run().join().total();
         }
     }
 
--- a/stand-in/src/test/java/org/siskinramp/standin/platform/PlatformStandInTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/platform/PlatformStandInTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.util.List;
 import java.util.concurrent.CompletionException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -23,7 +24,9 @@
     void start() {
         platform =
                 PlatformStandIn.start(
-                        new PlatformSettings("127.0.0.1:0", 0, 0, 500, 3, 0), time, time);
+                        new PlatformSettings("127.0.0.1:0", 0, 0, 500, 3, 0, List.of()),
+                        time,
+                        time);
         client = new TestClient(platform.address());
     }
 
