Measure callers' latencies in microseconds and run many backend servers in one process

Ruled out: a closed loop with a correction afterwards, since latencies run from when a request was to be sent, which needs no correction. Change: a pacing thread sends to the microsecond; percentiles have fractions; kinds have a weight; a load may surge and prefer a target; a target that refuses connections is passed over, as the platform's balancer does. The command backend-servers plays several servers. Answers repeat Attempt. Conclusion: the callers can carry the measurements.

--- a/stand-in/src/main/java/org/siskinramp/standin/Main.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/Main.java
@@ -12,6 +12,7 @@
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.result.ResultException;
 import org.siskinramp.standin.command.BackendServerCommand;
+import org.siskinramp.standin.command.BackendServersCommand;
 import org.siskinramp.standin.command.CallersCommand;
 import org.siskinramp.standin.command.FaultProxyCommand;
 import org.siskinramp.standin.command.PlatformCommand;
@@ -29,6 +30,7 @@
                     Map.of(
                             "platform", PlatformCommand::new,
                             "backend-server", BackendServerCommand::new,
+                            "backend-servers", BackendServersCommand::new,
                             "callers", CallersCommand::new,
                             "fault-proxy", FaultProxyCommand::new));
 
--- a/stand-in/src/main/java/org/siskinramp/standin/caller/CallerLoad.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/caller/CallerLoad.java
@@ -1,9 +1,11 @@
 package org.siskinramp.standin.caller;
 
+import java.net.ConnectException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.CompletableResponseListener;
@@ -56,19 +58,34 @@
      * @return what became of each request and of each kind
      */
     public CompletableFuture<LoadResult> run() {
-        List<PlannedRequest> plan = LoadPlan.draw(settings);
-        List<RequestRecord> records = plan.stream().map(RequestRecord::new).toList();
+        List<RequestRecord> records =
+                LoadPlan.draw(settings).stream().map(RequestRecord::new).toList();
+        return CompletableFuture.supplyAsync(() -> sendAll(records), Pacer::runInThread)
+                .thenCompose(copies -> CompletableFuture.allOf(copies))
+                .thenApplyAsync(nothing -> new LoadResult(reports(records), records));
+    }
+
+    private CompletableFuture<?>[] sendAll(List<RequestRecord> records) {
+        Pacer pacer = new Pacer();
         List<CompletableFuture<Void>> copies = new ArrayList<>();
-        long start = clock.monotonicMilliseconds();
         for (RequestRecord entry : records) {
             PlannedRequest request = entry.request();
-            copies.add(sendLater(entry, request.target(), start, 0));
+            long intended = pacer.await(request.sendAfterMilliseconds());
+            copies.add(send(copyOf(entry, request.target(), intended)));
             if (request.isResent()) {
-                copies.add(sendLater(entry, request.resendTarget(), start, RESEND_MILLISECONDS));
+                Copy second = copyOf(entry, request.resendTarget(), intended);
+                copies.add(later(RESEND_MILLISECONDS).thenCompose(nothing -> send(second)));
             }
         }
-        return CompletableFuture.allOf(copies.toArray(CompletableFuture[]::new))
-                .thenApplyAsync(nothing -> new LoadResult(reports(records), records));
+        return copies.toArray(CompletableFuture[]::new);
+    }
+
+    private Copy copyOf(RequestRecord entry, int target, long intendedNanoseconds) {
+        long giveUp =
+                clock.monotonicMilliseconds()
+                        + settings.deadlineMilliseconds()
+                        + settings.followUpMilliseconds();
+        return new Copy(entry, target, 0, intendedNanoseconds, giveUp);
     }
 
     @Override
@@ -80,34 +97,33 @@
         }
     }
 
-    private CompletableFuture<Void> sendLater(
-            RequestRecord entry, int target, long start, long extraMilliseconds) {
-        long intended = start + Math.round(entry.request().sendAfterMilliseconds());
-        long giveUp = intended + settings.deadlineMilliseconds() + settings.followUpMilliseconds();
-        Copy copy = new Copy(entry, settings.targets().get(target), intended, giveUp);
-        long delay = intended + extraMilliseconds - clock.monotonicMilliseconds();
-        return later(delay).thenCompose(nothing -> send(copy));
+    private CompletableFuture<Void> send(Copy copy) {
+        return new CompletableResponseListener(toRequest(copy), GREATEST_ANSWER_BYTES)
+                .send()
+                .handle(Reply::new)
+                .thenCompose(reply -> end(copy, reply));
     }
 
-    private CompletableFuture<Void> send(Copy copy) {
-        return ask(copy).thenCompose(result -> take(copy, result));
+    /** Goes on to the next target if none was reached, as the balancer of the platform does. */
+    private CompletableFuture<Void> end(Copy copy, Reply reply) {
+        if (reply.failure == null) {
+            return take(copy, CopyResult.of(copy.entry.request(), reply.response));
+        }
+        if (isUnreachable(reply.failure) && copy.refusals + 1 < settings.targets().size()) {
+            return send(copy.toNextOf(settings.targets().size()));
+        }
+        return take(copy, CopyResult.lost());
     }
 
-    private CompletableFuture<CopyResult> ask(Copy copy) {
-        PlannedRequest planned = copy.entry.request();
-        return new CompletableResponseListener(toRequest(copy), GREATEST_ANSWER_BYTES)
-                .send()
-                .handle(
-                        (response, failure) ->
-                                failure == null
-                                        ? CopyResult.of(planned, response)
-                                        : CopyResult.lost());
+    private static boolean isUnreachable(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof ConnectException;
     }
 
     private Request toRequest(Copy copy) {
         PlannedRequest planned = copy.entry.request();
         Request request =
-                client.newRequest("http://" + copy.target + planned.kind().path())
+                client.newRequest(addressOf(copy) + planned.kind().path())
                         .method(planned.kind().method())
                         .timeout(
                                 settings.deadlineMilliseconds() + PATIENCE_MILLISECONDS,
@@ -123,12 +139,18 @@
         return request;
     }
 
+    private String addressOf(Copy copy) {
+        return "http://" + settings.targets().get(copy.target);
+    }
+
     private CompletableFuture<Void> take(Copy copy, CopyResult result) {
         long now = clock.monotonicMilliseconds();
         if (result.inProgress() && now < copy.giveUpMilliseconds) {
             return later(result.retryAfterMilliseconds()).thenCompose(nothing -> send(copy));
         }
-        copy.entry.add(result, now - copy.intendedMilliseconds);
+        copy.entry.add(
+                result,
+                TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - copy.intendedNanoseconds));
         return CompletableFuture.completedFuture(null);
     }
 
@@ -185,10 +207,20 @@
         return client;
     }
 
+    /** Holds an answer, or why there is none. */
+    private record Reply(ContentResponse response, Throwable failure) {}
+
     /** Names one copy of a request on its way through one target. */
     private record Copy(
             RequestRecord entry,
-            String target,
-            long intendedMilliseconds,
-            long giveUpMilliseconds) {}
+            int target,
+            int refusals,
+            long intendedNanoseconds,
+            long giveUpMilliseconds) {
+
+        Copy toNextOf(int targets) {
+            int next = (target + 1) % targets;
+            return new Copy(entry, next, refusals + 1, intendedNanoseconds, giveUpMilliseconds);
+        }
+    }
 }
--- a/stand-in/src/main/java/org/siskinramp/standin/caller/CallerSettings.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/caller/CallerSettings.java
@@ -18,6 +18,7 @@
  *     target
  * @param followUpMilliseconds how long a request that is in progress is asked for again, in
  *     milliseconds
+ * @param shape how the load changes in time and how it is spread
  */
 public record CallerSettings(
         List<String> targets,
@@ -30,7 +31,8 @@
         long seed,
         long deadlineMilliseconds,
         double resendShare,
-        long followUpMilliseconds) {
+        long followUpMilliseconds,
+        LoadShape shape) {
 
     /**
      * Copies the lists so that the settings cannot change.
@@ -46,6 +48,7 @@
      * @param deadlineMilliseconds the deadline
      * @param resendShare the share sent again
      * @param followUpMilliseconds the time for following up
+     * @param shape the shape
      */
     public CallerSettings {
         targets = List.copyOf(targets);
--- a/stand-in/src/main/java/org/siskinramp/standin/caller/JudgeReport.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/caller/JudgeReport.java
@@ -38,7 +38,10 @@
         long answeredWithoutRun = 0;
         for (RequestRecord entry : records) {
             int ran = runs.getOrDefault(entry.request().key(), 0);
-            doubled += !entry.request().kind().isIdempotent() && ran > 1 ? 1 : 0;
+            if (ran > 1) {
+                entry.ranMoreThanOnce();
+            }
+            doubled += entry.isDoubled() ? 1 : 0;
             falselyNotRun += entry.outcome() == Outcome.NOT_RUN && ran > 0 ? 1 : 0;
             answeredWithoutRun += entry.outcome() == Outcome.ANSWERED && ran == 0 ? 1 : 0;
         }
--- a/stand-in/src/main/java/org/siskinramp/standin/caller/LoadKind.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/caller/LoadKind.java
@@ -12,13 +12,16 @@
  * @param method the HTTP method
  * @param path the path
  * @param share its share of the requests, relative to the other kinds
+ * @param weight what a served request of this kind counts
  */
-public record LoadKind(String name, String method, String path, double share) {
+public record LoadKind(String name, String method, String path, double share, double weight) {
 
-    private static final int PARTS = 4;
+    private static final int LEAST_PARTS = 4;
+    private static final int GREATEST_PARTS = 5;
 
     /**
-     * Reads kinds of the form {@code name:method:path:share}, separated by commas.
+     * Reads kinds of the form {@code name:method:path:share} or {@code
+     * name:method:path:share:weight}, separated by commas. The weight is 1 if it is left out.
      *
      * @param text the kinds
      * @return the kinds
@@ -34,15 +37,17 @@
 
     private static LoadKind parse(String text) {
         String[] parts = text.split(":", -1);
-        if (parts.length != PARTS) {
+        if (parts.length < LEAST_PARTS || parts.length > GREATEST_PARTS) {
             throw new ResultException(
-                    ResultCode.USAGE, "a kind is name:method:path:share, not " + text);
+                    ResultCode.USAGE, "a kind is name:method:path:share[:weight], not " + text);
         }
         try {
             double share = Double.parseDouble(parts[3]);
-            return new LoadKind(parts[0], parts[1], parts[2], share);
+            double weight = parts.length == GREATEST_PARTS ? Double.parseDouble(parts[4]) : 1;
+            return new LoadKind(parts[0], parts[1], parts[2], share, weight);
         } catch (NumberFormatException failure) {
-            throw new ResultException(ResultCode.USAGE, "the share is not a number: " + text);
+            throw new ResultException(
+                    ResultCode.USAGE, "the share or weight is not a number: " + text);
         }
     }
 
--- a/stand-in/src/main/java/org/siskinramp/standin/caller/LoadPlan.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/caller/LoadPlan.java
@@ -29,7 +29,7 @@
         List<PlannedRequest> requests = new ArrayList<>(settings.requests());
         double sendAfter = 0;
         for (int number = 0; number < settings.requests(); number++) {
-            sendAfter += gapMilliseconds();
+            sendAfter += gapMilliseconds(sendAfter);
             requests.add(drawOne(number, sendAfter));
         }
         return requests;
@@ -39,7 +39,7 @@
         LoadKind kind = drawKind();
         String caller = "caller-" + random.nextInt(settings.callers());
         String requestId = "run-" + settings.seed() + "-" + number;
-        int target = random.nextInt(settings.targets().size());
+        int target = settings.shape().drawTarget(random, settings.targets().size());
         String content = kind.isIdempotent() ? "" : kind.name() + " " + requestId;
         return new PlannedRequest(
                 new RequestKey(caller, requestId),
@@ -70,8 +70,10 @@
         return settings.kinds().get(settings.kinds().size() - 1);
     }
 
-    private double gapMilliseconds() {
-        double meanMilliseconds = MILLISECONDS_PER_SECOND / settings.requestsPerSecond();
+    private double gapMilliseconds(double nowMilliseconds) {
+        double requestsPerSecond =
+                settings.requestsPerSecond() * settings.shape().factorAt(nowMilliseconds);
+        double meanMilliseconds = MILLISECONDS_PER_SECOND / requestsPerSecond;
         return -meanMilliseconds * Math.log(1 - random.nextDouble());
     }
 }
--- a/stand-in/src/main/java/org/siskinramp/standin/caller/LoadReport.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/caller/LoadReport.java
@@ -34,21 +34,22 @@
         long unknown,
         long failed,
         long crossed,
-        @JsonProperty("p50_ms") long p50Milliseconds,
-        @JsonProperty("p99_ms") long p99Milliseconds,
-        @JsonProperty("p999_ms") long p999Milliseconds,
+        @JsonProperty("p50_ms") double p50Milliseconds,
+        @JsonProperty("p99_ms") double p99Milliseconds,
+        @JsonProperty("p999_ms") double p999Milliseconds,
         JudgeReport judge) {
 
     private static final int SIGNIFICANT_DIGITS = 3;
+    private static final double MICROSECONDS_PER_MILLISECOND = 1000;
 
     static LoadReport of(
             String kind, Collection<RequestRecord> records, Optional<JudgeReport> judge) {
-        Histogram latencies = new Histogram(SIGNIFICANT_DIGITS);
+        Histogram microseconds = new Histogram(SIGNIFICANT_DIGITS);
         records.stream()
                 .filter(entry -> entry.request().measured())
-                .mapToLong(RequestRecord::latencyMilliseconds)
+                .mapToLong(RequestRecord::latencyMicroseconds)
                 .filter(latency -> latency >= 0)
-                .forEach(latencies::recordValue);
+                .forEach(microseconds::recordValue);
         return new LoadReport(
                 kind,
                 records.size(),
@@ -56,10 +57,10 @@
                 count(records, Outcome.NOT_RUN),
                 count(records, Outcome.UNKNOWN),
                 count(records, Outcome.FAILED),
-                records.stream().filter(LoadReport::isWrong).count(),
-                latencies.getValueAtPercentile(50),
-                latencies.getValueAtPercentile(99),
-                latencies.getValueAtPercentile(99.9),
+                records.stream().filter(RequestRecord::isWrong).count(),
+                milliseconds(microseconds, 50),
+                milliseconds(microseconds, 99),
+                milliseconds(microseconds, 99.9),
                 judge.orElse(null));
     }
 
@@ -92,13 +93,13 @@
                 .with("cold_overload", judge.coldOverload());
     }
 
-    private static boolean isWrong(RequestRecord entry) {
-        return entry.isCrossed() || entry.isAnsweredDifferently();
+    private static double milliseconds(Histogram microseconds, double percentile) {
+        return microseconds.getValueAtPercentile(percentile) / MICROSECONDS_PER_MILLISECOND;
     }
 
     private static long count(Collection<RequestRecord> records, Outcome outcome) {
         return records.stream()
-                .filter(entry -> entry.outcome() == outcome && !isWrong(entry))
+                .filter(entry -> entry.outcome() == outcome && !entry.isWrong())
                 .count();
     }
 }
--- /dev/null
+++ b/stand-in/src/main/java/org/siskinramp/standin/caller/LoadShape.java
@@ -0,0 +1,55 @@
+package org.siskinramp.standin.caller;
+
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * Describes how a load changes in time and how it is spread over the targets.
+ *
+ * @param surgeFactor by what factor the rate is higher during the surge
+ * @param surgeFromMilliseconds when the surge begins, from the start of the run
+ * @param surgeToMilliseconds when the surge ends, from the start of the run
+ * @param targetShares the share of each target, relative to the others; empty for equal shares
+ */
+public record LoadShape(
+        double surgeFactor,
+        double surgeFromMilliseconds,
+        double surgeToMilliseconds,
+        List<Double> targetShares) {
+
+    /** A constant rate with equal shares. */
+    public static final LoadShape STEADY = new LoadShape(1, 0, 0, List.of());
+
+    /**
+     * Copies the shares.
+     *
+     * @param surgeFactor the factor
+     * @param surgeFromMilliseconds the beginning
+     * @param surgeToMilliseconds the end
+     * @param targetShares the shares
+     */
+    public LoadShape {
+        targetShares = List.copyOf(targetShares);
+    }
+
+    double factorAt(double milliseconds) {
+        boolean surging =
+                milliseconds >= surgeFromMilliseconds && milliseconds < surgeToMilliseconds;
+        return surging ? surgeFactor : 1;
+    }
+
+    int drawTarget(SplittableRandom random, int targets) {
+        if (targetShares.isEmpty()) {
+            return random.nextInt(targets);
+        }
+        double total = targetShares.stream().mapToDouble(Double::doubleValue).sum();
+        double point = random.nextDouble() * total;
+        for (int target = 0; target < targets - 1; target++) {
+            point -= targetShares.get(target);
+            if (point < 0) {
+                return target;
+            }
+        }
+        return targets - 1;
+    }
+}
--- a/stand-in/src/main/java/org/siskinramp/standin/caller/RequestRecord.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/caller/RequestRecord.java
@@ -12,19 +12,20 @@
     private final Set<String> contents = new HashSet<>();
     private Outcome outcome = Outcome.NOT_RUN;
     private boolean crossed;
-    private long latencyMilliseconds = -1;
+    private boolean doubled;
+    private long latencyMicroseconds = -1;
 
     RequestRecord(PlannedRequest request) {
         this.request = request;
     }
 
-    synchronized void add(CopyResult result, long sinceIntendedMilliseconds) {
+    synchronized void add(CopyResult result, long sinceIntendedMicroseconds) {
         outcome = outcome.strongest(result.outcome());
         crossed = crossed || result.crossed();
         if (result.outcome() == Outcome.ANSWERED) {
             contents.add(result.content());
-            latencyMilliseconds =
-                    latencyMilliseconds < 0 ? sinceIntendedMilliseconds : latencyMilliseconds;
+            latencyMicroseconds =
+                    latencyMicroseconds < 0 ? sinceIntendedMicroseconds : latencyMicroseconds;
         }
     }
 
@@ -36,16 +37,28 @@
         return outcome;
     }
 
-    synchronized boolean isCrossed() {
-        return crossed;
+    synchronized void ranMoreThanOnce() {
+        doubled = !request.kind().isIdempotent();
     }
 
-    synchronized boolean isAnsweredDifferently() {
-        return contents.size() > 1;
+    /** Tells whether the caller got something else than the one answer to its request. */
+    synchronized boolean isWrong() {
+        return crossed || contents.size() > 1;
     }
 
-    synchronized long latencyMilliseconds() {
-        return latencyMilliseconds;
+    synchronized boolean isDoubled() {
+        return doubled;
+    }
+
+    synchronized boolean isServed(long deadlineMicroseconds) {
+        return outcome == Outcome.ANSWERED
+                && !isWrong()
+                && !doubled
+                && latencyMicroseconds <= deadlineMicroseconds;
+    }
+
+    synchronized long latencyMicroseconds() {
+        return latencyMicroseconds;
     }
 
     synchronized LogEvent toEvent() {
@@ -55,6 +68,6 @@
                 .with("kind", request.kind().name())
                 .with("copies", request.copies())
                 .with("outcome", outcome.name().toLowerCase(Locale.ROOT))
-                .with("latency_ms", latencyMilliseconds);
+                .with("latency_us", latencyMicroseconds);
     }
 }
--- a/stand-in/src/main/java/org/siskinramp/standin/command/CallersCommand.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/command/CallersCommand.java
@@ -14,6 +14,7 @@
 import org.siskinramp.standin.caller.LoadKind;
 import org.siskinramp.standin.caller.LoadReport;
 import org.siskinramp.standin.caller.LoadResult;
+import org.siskinramp.standin.caller.LoadShape;
 import org.siskinramp.standin.http.Json;
 import org.siskinramp.time.SystemClock;
 
@@ -104,7 +105,8 @@
                 seed,
                 deadlineMilliseconds,
                 resendShare,
-                followUpMilliseconds);
+                followUpMilliseconds,
+                LoadShape.STEADY);
     }
 
     private static List<String> addresses(String text) {
--- a/stand-in/src/main/java/org/siskinramp/standin/server/Work.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/server/Work.java
@@ -84,11 +84,11 @@
 
     RunAnswer answerOf(String server) {
         return new RunAnswer(
-                server,
-                key.caller(),
-                key.requestId(),
-                digestOf(exchange.body()),
-                exchange.header("Attempt").orElse(""));
+                server, key.caller(), key.requestId(), digestOf(exchange.body()), attempt());
+    }
+
+    String attempt() {
+        return exchange.header("Attempt").orElse("");
     }
 
     static String digestOf(byte[] content) {
--- a/stand-in/src/test/java/org/siskinramp/standin/caller/CallerLoadTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/caller/CallerLoadTest.java
@@ -74,7 +74,8 @@
                         7,
                         10_000,
                         resendShare,
-                        1000);
+                        1000,
+                        LoadShape.STEADY);
         try (CallerLoad load = new CallerLoad(settings, new SystemClock(), scheduler)) {
             return load.run().join().total();
         }
--- a/stand-in/src/test/java/org/siskinramp/standin/server/BackendServerStandInTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/server/BackendServerStandInTest.java
@@ -59,6 +59,16 @@
         assertEquals("1", verdict().doubled().get(0).requestId());
     }
 
+    @Test
+    void answerRepeatsTheAttempt() throws InterruptedException {
+        start(settings());
+        CompletableFuture<HttpResponse<String>> answer =
+                client.send("GET", "/a", "", "Request-Id", "1", "Attempt", "entry-1/5/9");
+        awaitInProgress(1);
+        time.advance(100);
+        assertEquals("entry-1/5/9", answer.join().headers().firstValue("Attempt").orElse(""));
+    }
+
     @Test
     void closedConnectionCancelsTheWork() throws Exception {
         start(settings());
