--- a/stand-in/src/main/java/org/siskinramp/standin/caller/RequestRecord.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/caller/RequestRecord.java
@@ -1,7 +1,9 @@
 package org.siskinramp.standin.caller;
 
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Set;
+import org.siskinramp.log.LogEvent;
 
 /** Collects what became of all copies of a request. */
 final class RequestRecord {
@@ -10,22 +12,20 @@
     private final Set<String> contents = new HashSet<>();
     private Outcome outcome = Outcome.NOT_RUN;
     private boolean crossed;
-    private long latencyMilliseconds = -1;
-    private int openCopies;
+    private boolean doubled;
+    private long latencyMicroseconds = -1;
 
     RequestRecord(PlannedRequest request) {
         this.request = request;
-        openCopies = request.copies();
     }
 
-    synchronized void add(CopyResult result, long sinceIntendedMilliseconds) {
-        openCopies--;
+    synchronized void add(CopyResult result, long sinceIntendedMicroseconds) {
         outcome = outcome.strongest(result.outcome());
         crossed = crossed || result.crossed();
         if (result.outcome() == Outcome.ANSWERED) {
             contents.add(result.content());
-            latencyMilliseconds =
-                    latencyMilliseconds < 0 ? sinceIntendedMilliseconds : latencyMilliseconds;
+            latencyMicroseconds =
+                    latencyMicroseconds < 0 ? sinceIntendedMicroseconds : latencyMicroseconds;
         }
     }
 
@@ -37,19 +37,37 @@
         return outcome;
     }
 
-    synchronized boolean isCrossed() {
-        return crossed;
+    synchronized void ranMoreThanOnce() {
+        doubled = !request.kind().isIdempotent();
     }
 
-    synchronized boolean isAnsweredDifferently() {
-        return contents.size() > 1;
+    /** Tells whether the caller got something else than the one answer to its request. */
+    synchronized boolean isWrong() {
+        return crossed || contents.size() > 1;
     }
 
-    synchronized long latencyMilliseconds() {
-        return latencyMilliseconds;
+    synchronized boolean isDoubled() {
+        return doubled;
     }
 
-    synchronized boolean isEnded() {
-        return openCopies == 0;
+    synchronized boolean isServed(long deadlineMicroseconds) {
+        return outcome == Outcome.ANSWERED
+                && !isWrong()
+                && !doubled
+                && latencyMicroseconds <= deadlineMicroseconds;
+    }
+
+    synchronized long latencyMicroseconds() {
+        return latencyMicroseconds;
+    }
+
+    synchronized LogEvent toEvent() {
+        return LogEvent.named("request")
+                .with("caller", request.key().caller())
+                .with("request_id", request.key().requestId())
+                .with("kind", request.kind().name())
+                .with("copies", request.copies())
+                .with("outcome", outcome.name().toLowerCase(Locale.ROOT))
+                .with("latency_us", latencyMicroseconds);
     }
 }
