Bind attempts to the start of the backend server that they expect

Cause: the use of warm slots is bound to one boot identity, but the link to backend servers ignored the expectation, so a server that had just started anew could get a full load over a new connection. AllowanceAsk, added to the library, had no number and so could not be sent.

Ruled out: a separate connection for the question, which might reach another process than the request; trusting the last probe, which may be older than the connection.

Change: each pooled connection remembers the Boot-Identity of the last answer on it. An attempt that expects a start asks GET /-/load on a connection that has shown none yet, within its own deadline, and fails with NOT_PERMITTED and the identity seen if it is another one, or none. An answer that names an attempt must name this one. AllowanceAsk has number 10, and a test goes through every record of the package of messages.

--- a/daemon/src/main/java/org/siskinramp/daemon/backend/BackendServerHeaders.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/backend/BackendServerHeaders.java
@@ -18,9 +18,9 @@
     static final String REQUEST_ID = "Request-Id";
 
     private static final String CALLER = "Caller";
-    private static final String ATTEMPT = "Attempt";
+    static final String ATTEMPT = "Attempt";
     private static final String REQUEST_DEADLINE = "Request-Deadline";
-    private static final String BOOT_IDENTITY = "Boot-Identity";
+    static final String BOOT_IDENTITY = "Boot-Identity";
     private static final String LOAD = "Load";
     private static final String LEAVING = "Leaving";
     private static final String NOT_RUN = "Not-Run";
@@ -32,6 +32,7 @@
     private static final Set<String> OWN_ANSWER_HEADERS =
             Set.of(
                     "request-id",
+                    "attempt",
                     "boot-identity",
                     "load",
                     "leaving",
--- a/daemon/src/main/java/org/siskinramp/daemon/backend/JettyBackendServerLink.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/backend/JettyBackendServerLink.java
@@ -15,6 +15,7 @@
 import org.siskinramp.daemon.exchange.ExchangeCall;
 import org.siskinramp.daemon.exchange.ExchangeRequest;
 import org.siskinramp.daemon.exchange.HttpExchanger;
+import org.siskinramp.daemon.exchange.IdentityCheck;
 import org.siskinramp.log.Counters;
 import org.siskinramp.log.EventLog;
 import org.siskinramp.request.Answer;
@@ -28,6 +29,7 @@
 public final class JettyBackendServerLink implements BackendServerLink {
 
     private static final int OK = 200;
+    private static final String PROBE_TARGET = "/-/load";
 
     private final BackendServerLinkOptions options;
     private final Clock clock;
@@ -98,12 +100,21 @@
                 .deadlineMilliseconds(attempt.deadlineMilliseconds())
                 .idleLimitMilliseconds(options.idleLimitMilliseconds(request.kind().idempotent()))
                 .permission(attempt::isPermitted)
-                .answerCheck(answer -> names(answer, request.key().requestId()))
+                .answerCheck(answer -> names(answer, request.key().requestId(), attemptName))
+                .identityCheck(identityCheck(attempt.expectedBootIdentity()))
                 .build();
     }
 
-    private static boolean names(ExchangeAnswer answer, String requestId) {
-        return answer.header(BackendServerHeaders.REQUEST_ID).filter(requestId::equals).isPresent();
+    private static IdentityCheck identityCheck(String expected) {
+        return new IdentityCheck(BackendServerHeaders.BOOT_IDENTITY, expected, PROBE_TARGET);
+    }
+
+    /** Tells whether an answer names the request and, if it names an attempt, this one. */
+    private static boolean names(ExchangeAnswer answer, String requestId, String attemptName) {
+        return answer.header(BackendServerHeaders.REQUEST_ID).filter(requestId::equals).isPresent()
+                && answer.header(BackendServerHeaders.ATTEMPT)
+                        .map(attemptName::equals)
+                        .orElse(true);
     }
 
     private static AttemptAnswer toAttemptAnswer(Attempt attempt, ExchangeAnswer answer) {
@@ -137,9 +148,10 @@
         try {
             request =
                     ExchangeRequest.to(server.address())
-                            .target("/-/load")
+                            .target(PROBE_TARGET)
                             .deadlineMilliseconds(deadline)
                             .idleLimitMilliseconds(options.idleLimitMilliseconds(true))
+                            .identityCheck(identityCheck(""))
                             .build();
         } catch (ResultException malformedAddress) {
             return CompletableFuture.failedFuture(unreachable(malformedAddress));
--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/Exchange.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/Exchange.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
@@ -17,6 +18,7 @@
 import org.siskinramp.attempt.AttemptFailure;
 import org.siskinramp.attempt.LoadReport;
 import org.siskinramp.request.Header;
+import org.siskinramp.result.Futures;
 import org.siskinramp.time.Clock;
 
 /**
@@ -31,11 +33,13 @@
     private static final int FIRST_FINAL_STATUS = 200;
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
+    private static final int LOAD_UNKNOWN = -1;
 
     private final ExchangeRequest request;
     private final ExchangeOptions options;
     private final Clock clock;
     private final HttpExchanger exchanger;
+    private final Consumer<PooledConnection> keeper;
     private final CompletableFuture<ExchangeAnswer> answer = new CompletableFuture<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private volatile Request jettyRequest;
@@ -49,11 +53,13 @@
             ExchangeRequest request,
             ExchangeOptions options,
             Clock clock,
-            HttpExchanger exchanger) {
+            HttpExchanger exchanger,
+            Consumer<PooledConnection> keeper) {
         this.request = request;
         this.options = options;
         this.clock = clock;
         this.exchanger = exchanger;
+        this.keeper = keeper;
     }
 
     ExchangeRequest request() {
@@ -99,6 +105,58 @@
                     "before it was sent");
             return;
         }
+        if (request.identityCheck().needsQuestion(usable)) {
+            askIdentity(usable);
+        } else if (request.identityCheck().accepts(usable)) {
+            write(usable, leftMilliseconds);
+        } else {
+            exchanger.keep(request.address(), usable);
+            refuseIdentity(usable.identity().orElse(""));
+        }
+    }
+
+    private void askIdentity(PooledConnection usable) {
+        Exchange question =
+                new Exchange(request.identityQuestion(), options, clock, exchanger, unused -> {});
+        question.sendOn(usable);
+        Futures.whenDone(
+                question.answer,
+                (whole, failure) -> {
+                    if (failure == null) {
+                        sendOn(question.connection);
+                    } else {
+                        identityUnknown(question, AttemptException.from(failure));
+                    }
+                });
+    }
+
+    private void identityUnknown(Exchange question, AttemptException failure) {
+        boolean closedWhileIdle =
+                failure.failure() == AttemptFailure.CONNECTION_BROKEN
+                        && question.connection.isReused();
+        if (closedWhileIdle) {
+            exchanger.open(this);
+        } else {
+            boolean refused = failure.failure() == AttemptFailure.CONNECTION_REFUSED;
+            failUnsent(
+                    refused
+                            ? AttemptFailure.CONNECTION_REFUSED
+                            : AttemptFailure.CONNECTION_TIMED_OUT,
+                    failure.getMessage());
+        }
+    }
+
+    private void refuseIdentity(String shown) {
+        if (phase.compareAndSet(Phase.UNSENT, Phase.ENDED)) {
+            answer.completeExceptionally(
+                    new AttemptException(
+                            AttemptFailure.NOT_PERMITTED,
+                            new LoadReport(shown, LOAD_UNKNOWN, false),
+                            "address=" + request.address() + " boot_identity=" + shown));
+        }
+    }
+
+    private void write(PooledConnection usable, long leftMilliseconds) {
         connection = usable;
         Request prepared = prepare(leftMilliseconds);
         jettyRequest = prepared;
@@ -199,7 +257,8 @@
 
     private void finish(ExchangeAnswer whole) {
         if (request.accepts(whole)) {
-            exchanger.keep(request.address(), connection);
+            request.identityCheck().remember(connection, whole);
+            keeper.accept(connection);
             answer.complete(whole);
         } else {
             connection.close();
--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/ExchangeRequest.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/ExchangeRequest.java
@@ -26,6 +26,7 @@
     private final long idleLimitMilliseconds;
     private final BooleanSupplier permission;
     private final Predicate<ExchangeAnswer> answerCheck;
+    private final IdentityCheck identityCheck;
 
     private ExchangeRequest(Builder builder) {
         address = builder.address;
@@ -37,6 +38,7 @@
         idleLimitMilliseconds = builder.idleLimitMilliseconds;
         permission = Objects.requireNonNull(builder.permission, "permission");
         answerCheck = Objects.requireNonNull(builder.answerCheck, "answerCheck");
+        identityCheck = Objects.requireNonNull(builder.identityCheck, "identityCheck");
     }
 
     /**
@@ -90,6 +92,19 @@
         return answerCheck.test(answer);
     }
 
+    IdentityCheck identityCheck() {
+        return identityCheck;
+    }
+
+    /** Makes the request that asks for the identity of the server, with the same deadline. */
+    ExchangeRequest identityQuestion() {
+        return new Builder(address)
+                .target(identityCheck.questionTarget())
+                .deadlineMilliseconds(deadlineMilliseconds)
+                .identityCheck(identityCheck.withoutExpectation())
+                .build();
+    }
+
     /** Collects the parts of a request. */
     public static final class Builder {
 
@@ -102,6 +117,7 @@
         private long idleLimitMilliseconds = 1000;
         private BooleanSupplier permission = () -> true;
         private Predicate<ExchangeAnswer> answerCheck = answer -> true;
+        private IdentityCheck identityCheck = IdentityCheck.NONE;
 
         private Builder(ServerAddress address) {
             this.address = address;
@@ -195,6 +211,17 @@
             return this;
         }
 
+        /**
+         * Sets which start of the server must get the request.
+         *
+         * @param value the start, and how a server shows it
+         * @return this builder
+         */
+        public Builder identityCheck(IdentityCheck value) {
+            identityCheck = value;
+            return this;
+        }
+
         /**
          * Builds the request.
          *
--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/HttpExchanger.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/HttpExchanger.java
@@ -102,7 +102,13 @@
      * @return the exchange
      */
     public ExchangeCall send(ExchangeRequest request) {
-        Exchange exchange = new Exchange(request, options, clock, this);
+        Exchange exchange =
+                new Exchange(
+                        request,
+                        options,
+                        clock,
+                        this,
+                        connection -> keep(request.address(), connection));
         pool.take(request.address(), request.idleLimitMilliseconds())
                 .ifPresentOrElse(exchange::sendOn, () -> open(exchange));
         return exchange;
--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/PooledConnection.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/PooledConnection.java
@@ -1,5 +1,6 @@
 package org.siskinramp.daemon.exchange;
 
+import java.util.Optional;
 import org.eclipse.jetty.client.Connection;
 import org.siskinramp.time.Clock;
 
@@ -10,6 +11,7 @@
     private final long openedMilliseconds;
     private volatile long idleSinceMilliseconds;
     private volatile boolean reused;
+    private volatile Optional<String> identity = Optional.empty();
 
     PooledConnection(Connection connection, Clock clock) {
         this.connection = connection;
@@ -37,6 +39,15 @@
         return !connection.isClosed();
     }
 
+    /** Returns the identity that the last answer showed; empty before the first answer. */
+    Optional<String> identity() {
+        return identity;
+    }
+
+    void showIdentity(String shown) {
+        identity = Optional.of(shown);
+    }
+
     void becomeIdle(Clock clock) {
         idleSinceMilliseconds = clock.monotonicMilliseconds();
         reused = true;
--- a/daemon/src/main/java/org/siskinramp/daemon/peer/MessageTypes.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/peer/MessageTypes.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
+import org.siskinramp.peer.AllowanceAsk;
 import org.siskinramp.peer.AllowanceChange;
 import org.siskinramp.peer.ColdSighting;
 import org.siskinramp.peer.ConfigurationNotice;
@@ -28,6 +29,7 @@
                     Map.entry(ColdSighting.class, 7),
                     Map.entry(ConfigurationNotice.class, 8),
                     Map.entry(SuspectRequest.class, 9),
+                    Map.entry(AllowanceAsk.class, 10),
                     Map.entry(Hello.class, 100),
                     Map.entry(Receipt.class, 101));
 
--- a/daemon/src/test/java/org/siskinramp/daemon/backend/JettyBackendServerLinkTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/backend/JettyBackendServerLinkTest.java
@@ -144,6 +144,55 @@
         assertEquals(2, server.connections());
     }
 
+    @Test
+    void neverPassesOnTheAnswerToAnotherAttempt() throws Exception {
+        serve(WHOLE.replace("Load: 3", "Attempt: entry-1/i9/1"));
+        dispatch(1).get(5, TimeUnit.SECONDS);
+        assertEquals(AttemptFailure.ANSWER_CROSSED, failure(dispatch(2)));
+    }
+
+    @Test
+    void asksANewConnectionForTheBootIdentityThatIsExpected() throws Exception {
+        serve(WHOLE);
+        dispatchTo("b7", 1).get(5, TimeUnit.SECONDS);
+        dispatchTo("b7", 2).get(5, TimeUnit.SECONDS);
+        assertEquals(1, server.connections());
+        assertEquals(List.of("GET /-/load", "POST /dispa", "POST /dispa"), requestStarts());
+    }
+
+    @Test
+    void sendsNothingToAnotherStartOfTheServer() throws Exception {
+        serve(WHOLE);
+        assertOtherStart("b7", dispatchTo("b8", 1));
+        dispatch(2).get(5, TimeUnit.SECONDS);
+        assertOtherStart("b7", dispatchTo("b8", 3));
+        assertEquals(List.of("GET /-/load", "POST /dispa"), requestStarts());
+    }
+
+    @Test
+    void sendsNothingToAServerThatHidesTheStartThatIsExpected() throws Exception {
+        serve(WHOLE.replace("Boot-Identity: b7\r\n", ""));
+        assertOtherStart("", dispatchTo("b7", 1));
+        assertEquals(List.of("GET /-/load"), requestStarts());
+    }
+
+    @Test
+    void givesUpUnsentIfTheBootIdentityIsNotAnswered() throws Exception {
+        serve(SILENCE);
+        AttemptException failure = exception(dispatchTo("b7", 1));
+        assertEquals(AttemptFailure.CONNECTION_TIMED_OUT, failure.failure());
+        assertEquals(List.of("GET /-/load"), requestStarts());
+        awaitEnded(1);
+    }
+
+    @Test
+    void learnsTheBootIdentityFromAProbe() throws Exception {
+        serve(WHOLE);
+        link.probe(backendServer()).get(5, TimeUnit.SECONDS);
+        assertOtherStart("b7", dispatchTo("b6", 1));
+        assertEquals(List.of("GET /-/load"), requestStarts());
+    }
+
     @Test
     void neverTakesASurplusAnswerForTheNextOne() throws Exception {
         serve(WHOLE + WHOLE.replace("body", "late"));
@@ -251,7 +300,26 @@
         return link.dispatch(attempt(number, false, () -> true));
     }
 
+    private CompletableFuture<AttemptAnswer> dispatchTo(String bootIdentity, long number) {
+        return link.dispatch(attempt(number, false, bootIdentity, () -> true));
+    }
+
+    private void assertOtherStart(String shown, CompletableFuture<AttemptAnswer> answer) {
+        AttemptException failure = exception(answer);
+        assertEquals(AttemptFailure.NOT_PERMITTED, failure.failure());
+        assertEquals(new LoadReport(shown, -1, false), failure.loadReport());
+    }
+
+    private List<String> requestStarts() {
+        return server.requests().stream().map(request -> request.substring(0, 11)).toList();
+    }
+
     private Attempt attempt(long number, boolean idempotent, BooleanSupplier permission) {
+        return attempt(number, idempotent, "", permission);
+    }
+
+    private Attempt attempt(
+            long number, boolean idempotent, String bootIdentity, BooleanSupplier permission) {
         long now = clock.monotonicMilliseconds();
         Request request =
                 Request.builder()
@@ -264,7 +332,8 @@
                         .body("valve 9".getBytes(StandardCharsets.UTF_8))
                         .contentHash("00")
                         .build();
-        return new Attempt(number, request, backendServer(), now + 500, false, "", permission);
+        return new Attempt(
+                number, request, backendServer(), now + 500, false, bootIdentity, permission);
     }
 
     private BackendServer backendServer() {
--- a/daemon/src/test/java/org/siskinramp/daemon/peer/PeerCodecTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/peer/PeerCodecTest.java
@@ -3,14 +3,20 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.siskinramp.peer.Acknowledgement;
+import org.siskinramp.peer.AllowanceAsk;
 import org.siskinramp.peer.ColdSighting;
 import org.siskinramp.peer.ConfigurationNotice;
 import org.siskinramp.peer.Heartbeat;
@@ -55,6 +61,26 @@
         assertSame(new ColdSighting("d1", ""));
     }
 
+    @Test
+    void numbersEveryMessageOfTheLibrary() throws Exception {
+        Path sources = Path.of("../library/src/main/java/org/siskinramp/peer");
+        List<Class<?>> messages = new ArrayList<>();
+        try (Stream<Path> files = Files.list(sources)) {
+            for (Path file : files.sorted().toList()) {
+                String name = file.getFileName().toString().replace(".java", "");
+                if (!name.equals("package-info")) {
+                    messages.add(Class.forName("org.siskinramp.peer." + name));
+                }
+            }
+        }
+        messages.removeIf(type -> !type.isRecord() || !PeerMessage.class.isAssignableFrom(type));
+        assertTrue(messages.contains(AllowanceAsk.class), messages.toString());
+        for (Class<?> type : messages) {
+            int number = MessageTypes.numberOf(type.asSubclass(PeerMessage.class));
+            assertEquals(Optional.of(type), MessageTypes.typeOf(number));
+        }
+    }
+
     @Test
     void skipsTypesAndComponentsOfLaterVersions() {
         assertEquals(Optional.empty(), codec.decode(HexFormat.of().parseHex("0192639107")));
