Bound the time and the memory of callers' bodies, and name the attempt in answers

Cause: a caller that sent a byte now and then could keep a request open for ever, since only the gap between two parts was bounded; and 2,000 open requests of 1 MiB each would hold 2 GiB.

Ruled out: a timer for each request, since the idle time-out already ends a body that stalls; a share of the memory limit for each caller, which the callers' names do not bear.

Change: a body must be whole within a limit (10 s), checked when a part arrives, so that it ends at the latest one idle time-out later: 408 with code 218. The bodies of all open requests together hold at most 64 MiB; a request past that is refused at once with code 210 if it announces its length, and when the part arrives otherwise.

Left: a cancelled hedge that stayed silent does not mark its siblings.

--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
@@ -1,46 +1,50 @@
 package org.siskinramp.daemon.caller;
 
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
-import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
-import org.eclipse.jetty.util.Promise;
 import org.siskinramp.log.Counter;
 import org.siskinramp.log.Counters;
 import org.siskinramp.log.EventLog;
 import org.siskinramp.log.LogEvent;
 import org.siskinramp.request.Answer;
+import org.siskinramp.result.Futures;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.result.ResultException;
+import org.siskinramp.time.Clock;
 
 /** Reads each request whole, has it handled, and writes the answer or the refusal. */
 final class CallerHandler extends Handler.Abstract {
 
     private final RequestHandler handler;
     private final RequestHeadReader reader;
+    private final Clock clock;
     private final CallerServerOptions options;
     private final EventLog eventLog;
     private final Counters counters;
+    private final BodyMemory bodyMemory;
     private final OpenRequests openRequests = new OpenRequests();
     private final AtomicBoolean stopping = new AtomicBoolean();
 
     CallerHandler(
             RequestHandler handler,
             RequestHeadReader reader,
+            Clock clock,
             CallerServerOptions options,
             EventLog eventLog,
             Counters counters) {
         this.handler = handler;
         this.reader = reader;
+        this.clock = clock;
         this.options = options;
         this.eventLog = eventLog;
         this.counters = counters;
+        this.bodyMemory = new BodyMemory(options.bodiesLimitBytes());
     }
 
     OpenRequests openRequests() {
@@ -71,31 +75,28 @@
 
     private void handleCounted(Request request, Response response, Callback callback) {
         RequestHead head;
+        BodyMemory.Share memory;
         try {
             head = reader.read(request);
             checkLength(request);
+            memory = bodyMemory.open(request.getLength());
         } catch (ResultException refusal) {
             refuse(refusal, request, response, callback);
             return;
         }
-        AtomicBoolean whole = new AtomicBoolean();
-        request.addIdleTimeoutListener(timeout -> !whole.get());
-        Content.Source.asByteArrayAsync(
-                request,
-                options.bodyLimitBytes(),
-                new Promise.Invocable<byte[]>() {
-                    @Override
-                    public void succeeded(byte[] body) {
-                        whole.set(true);
-                        answer(head, body, response, callback);
-                    }
-
-                    @Override
-                    public void failed(Throwable failure) {
-                        whole.set(true);
-                        refuse(bodyRefusal(failure), request, response, callback);
+        Callback released = Callback.from(callback, memory::release);
+        BodyRead read = new BodyRead(request, options, clock, memory);
+        request.addIdleTimeoutListener(timeout -> !read.body().isDone());
+        Futures.whenDone(
+                read.body(),
+                (body, failure) -> {
+                    if (failure == null) {
+                        answer(head, body, response, released);
+                    } else {
+                        refuse(ResultException.from(failure), request, response, released);
                     }
                 });
+        read.run();
     }
 
     private void checkLength(Request request) {
@@ -105,18 +106,6 @@
         }
     }
 
-    private ResultException bodyRefusal(Throwable failure) {
-        if (failure instanceof IllegalStateException) {
-            return new ResultException(
-                    ResultCode.BODY_TOO_LARGE, "limit_bytes=" + options.bodyLimitBytes());
-        }
-        ResultCode code =
-                failure instanceof TimeoutException
-                        ? ResultCode.REQUEST_INCOMPLETE
-                        : ResultCode.REQUEST_INVALID;
-        return new ResultException(code, String.valueOf(failure));
-    }
-
     private void answer(RequestHead head, byte[] body, Response response, Callback callback) {
         Callback logged = Callback.from(callback, failure -> logIfLost(head, failure));
         var unused =
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerServer.java
@@ -52,7 +52,7 @@
         this.eventLog = eventLog;
         RequestHeadReader reader =
                 new RequestHeadReader(configuration, clock, options.defaultDeadlineMilliseconds());
-        this.handler = new CallerHandler(handler, reader, options, eventLog, counters);
+        this.handler = new CallerHandler(handler, reader, clock, options, eventLog, counters);
         this.server = newServer();
         this.connector = newConnector();
     }
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerServerOptions.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerServerOptions.java
@@ -7,6 +7,8 @@
     private final int port;
     private final int headerLimitBytes;
     private final int bodyLimitBytes;
+    private final long bodyTimeLimitMilliseconds;
+    private final long bodiesLimitBytes;
     private final long idleTimeoutMilliseconds;
     private final int requestLimit;
     private final long defaultDeadlineMilliseconds;
@@ -18,6 +20,8 @@
         port = builder.port;
         headerLimitBytes = builder.headerLimitBytes;
         bodyLimitBytes = builder.bodyLimitBytes;
+        bodyTimeLimitMilliseconds = builder.bodyTimeLimitMilliseconds;
+        bodiesLimitBytes = builder.bodiesLimitBytes;
         idleTimeoutMilliseconds = builder.idleTimeoutMilliseconds;
         requestLimit = builder.requestLimit;
         defaultDeadlineMilliseconds = builder.defaultDeadlineMilliseconds;
@@ -50,6 +54,14 @@
         return bodyLimitBytes;
     }
 
+    long bodyTimeLimitMilliseconds() {
+        return bodyTimeLimitMilliseconds;
+    }
+
+    long bodiesLimitBytes() {
+        return bodiesLimitBytes;
+    }
+
     long idleTimeoutMilliseconds() {
         return idleTimeoutMilliseconds;
     }
@@ -77,6 +89,8 @@
         private int port;
         private int headerLimitBytes = 16 * 1024;
         private int bodyLimitBytes = 1024 * 1024;
+        private long bodyTimeLimitMilliseconds = 10_000;
+        private long bodiesLimitBytes = 64L * 1024 * 1024;
         private long idleTimeoutMilliseconds = 30_000;
         private int requestLimit = 2000;
         private long defaultDeadlineMilliseconds = 5000;
@@ -85,6 +99,28 @@
 
         private Builder() {}
 
+        /**
+         * Sets how long a body may take to arrive. The limit is checked when a part arrives.
+         *
+         * @param value milliseconds
+         * @return this builder
+         */
+        public Builder bodyTimeLimitMilliseconds(long value) {
+            bodyTimeLimitMilliseconds = value;
+            return this;
+        }
+
+        /**
+         * Sets how much the bodies of all open requests may hold together.
+         *
+         * @param value bytes
+         * @return this builder
+         */
+        public Builder bodiesLimitBytes(long value) {
+            bodiesLimitBytes = value;
+            return this;
+        }
+
         /**
          * Sets the IP number to listen on.
          *
--- a/daemon/src/test/java/org/siskinramp/daemon/caller/CallerServerTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/caller/CallerServerTest.java
@@ -62,6 +62,8 @@
                     CallerServerOptions.builder()
                             .headerLimitBytes(2000)
                             .bodyLimitBytes(50)
+                            .bodyTimeLimitMilliseconds(1000)
+                            .bodiesLimitBytes(40)
                             .requestLimit(1)
                             .idleTimeoutMilliseconds(300)
                             .stopLimitMilliseconds(5000)
@@ -142,6 +144,43 @@
         assertRefused(218, "408", post("ab", known));
     }
 
+    @Test
+    void refusesABodyThatArrivesTooSlowly() throws Exception {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
+            socket.setSoTimeout(5000);
+            String[] headers = {
+                "Caller: c", "Request-Id: 1", "Content-Length: 3", "Expect: 100-continue"
+            };
+            socket.getOutputStream().write(bytes(post("", headers)));
+            String goOn = "HTTP/1.1 100 Continue\r\n\r\n";
+            assertEquals(
+                    goOn,
+                    new String(
+                            socket.getInputStream().readNBytes(goOn.length()),
+                            StandardCharsets.UTF_8));
+            clock.advance(1001);
+            socket.getOutputStream().write(bytes("abc"));
+            String received =
+                    new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertTrue(received.startsWith("HTTP/1.1 408 "), received);
+            assertTrue(received.contains("\r\nResult-Code: 218\r\n"), received);
+        }
+    }
+
+    @Test
+    void refusesBodiesThatTogetherHoldTooMuchAndFreesWhatHasEnded() throws Exception {
+        String[] known = {"Caller: c", "Request-Id: 1", "Content-Length: 41"};
+        assertRefused(210, "503", post("", known));
+        known[2] = "Transfer-Encoding: chunked";
+        assertRefused(210, "503", post("29\r\n" + "x".repeat(41) + "\r\n", known));
+        answer.complete(WHOLE);
+        known[2] = "Content-Length: 40";
+        for (int copy = 0; copy < 3; copy++) {
+            awaitNoOpenRequest();
+            assertTrue(ask(post("x".repeat(40), known)).endsWith("done"));
+        }
+    }
+
     @Test
     void givesTheResultCodeAndAdviceOfAFailure() throws Exception {
         answer.completeExceptionally(
--- a/stand-in/src/main/java/org/siskinramp/standin/server/BackendServerStandIn.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/server/BackendServerStandIn.java
@@ -322,6 +322,9 @@
     private List<Header> headers(Work work) {
         List<Header> headers = reportHeaders();
         headers.add(new Header("Request-Id", work.key().requestId()));
+        work.exchange()
+                .header("Attempt")
+                .ifPresent(name -> headers.add(new Header("Attempt", name)));
         return headers;
     }
 
--- a/stand-in/src/test/java/org/siskinramp/standin/server/BackendServerStandInTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/server/BackendServerStandInTest.java
@@ -80,11 +80,21 @@
     void passedDeadlineStopsTheWork() throws InterruptedException {
         start(settings());
         CompletableFuture<HttpResponse<String>> answer =
-                client.send("GET", "/a", "", "Request-Deadline", "30", "Request-Id", "1");
+                client.send(
+                        "GET",
+                        "/a",
+                        "",
+                        "Request-Deadline",
+                        "30",
+                        "Request-Id",
+                        "1",
+                        "Attempt",
+                        "h/i/1");
         awaitInProgress(1);
         time.advance(40);
         assertEquals(504, answer.join().statusCode());
         assertEquals(1, verdict().expired());
+        assertEquals("h/i/1", answer.join().headers().firstValue("Attempt").orElse(""));
     }
 
     @Test
