Run whole hosts under random faults, and mend what that found

(3) A server that failed was hardly used again, since its score was never refreshed. Change: slots of cold servers that are usable may be lent, and a returned loan tells the answers it got, so that the judge sees evidence; a repeated grant is passed over; what was seen of a server counts less with age (2 s). RoutingTest's restart check now runs 8 s instead of 4 and asks for full warmth as well, since a server that just failed is rightly chosen last while others are idle.

--- a/daemon/src/test/java/org/siskinramp/daemon/peer/PeerCodecTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/peer/PeerCodecTest.java
@@ -50,7 +50,7 @@
         assertSame(
                 new LoanGrant(
                         1, "dispatch", List.of(new LoanGrant.Loan(2, "d1", 0, 500, "b7")), 3));
-        assertSame(new LoanReturn("dispatch", List.of(1L, 2L)));
+        assertSame(new LoanReturn("dispatch", List.of(new LoanReturn.ReturnedLoan(1, 20))));
         assertSame(new SlotRelease(1, 2, true, List.of(new SlotRelease.ReleasedSlot("d1", 3))));
         assertSame(new ColdSighting("d1", ""));
     }
--- a/library/src/main/java/org/siskinramp/health/ServerHealth.java
+++ b/library/src/main/java/org/siskinramp/health/ServerHealth.java
@@ -8,6 +8,7 @@
 
     private static final double SAMPLE_WEIGHT = 0.1;
     private static final double LOWEST_SUCCESS_RATE = 0.05;
+    private static final double MEMORY_MILLISECONDS = 2_000;
     private static final int FAILURES_BEFORE_EJECTION = 5;
     private static final long FIRST_EJECTION_MILLISECONDS = 500;
     private static final long LONGEST_EJECTION_MILLISECONDS = 30_000;
@@ -18,6 +19,7 @@
     private long ejectedUntil = Long.MIN_VALUE;
     private long nextEjectionMilliseconds = FIRST_EJECTION_MILLISECONDS;
     private boolean trialPending;
+    private long sampledAt = Long.MIN_VALUE / 2;
 
     /**
      * Starts to judge a server.
@@ -32,8 +34,10 @@
      * Records an answer that counts as a success.
      *
      * @param latencyMilliseconds how long it took
+     * @param now monotonic milliseconds
      */
-    public void recordSuccess(long latencyMilliseconds) {
+    public void recordSuccess(long latencyMilliseconds, long now) {
+        sampledAt = now;
         latency.add((double) latencyMilliseconds);
         successRate.add(1.0);
         failuresInARow = 0;
@@ -51,6 +55,7 @@
      * @return true if the server is ejected by this failure
      */
     public boolean recordFailure(long now, boolean mayEject) {
+        sampledAt = now;
         successRate.add(0.0);
         failuresInARow++;
         boolean trialFailed = trialPending;
@@ -103,12 +108,18 @@
     }
 
     /**
-     * Returns how attractive the server is.
+     * Returns how attractive the server is. What was seen counts less the older it is, so that a
+     * server that got no request for a while is tried again.
      *
+     * @param now monotonic milliseconds
+     * @param typicalMilliseconds the typical latency of the service
      * @return the expected milliseconds for a successful answer; lower is better
      */
-    public double score() {
-        return latency.value() / Math.max(LOWEST_SUCCESS_RATE, successRate.value());
+    public double score(long now, double typicalMilliseconds) {
+        double memory = Math.exp((sampledAt - now) / MEMORY_MILLISECONDS);
+        double expected = typicalMilliseconds + memory * (latency.value() - typicalMilliseconds);
+        double success = 1 - memory * (1 - successRate.value());
+        return expected / Math.max(LOWEST_SUCCESS_RATE, success);
     }
 
     /**
--- a/library/src/main/java/org/siskinramp/routing/Dispatcher.java
+++ b/library/src/main/java/org/siskinramp/routing/Dispatcher.java
@@ -304,6 +304,9 @@
         attempt.slot.end();
         attempt.server.endRequest();
         boolean failed = result.answer().status() >= SERVER_ERROR_STATUS;
+        if (!failed) {
+            attempt.slot.countAnswer();
+        }
         observer.answered(attempt.server, result, failed, state.now() - attempt.startedAt, effects);
         RequestRun run = attempt.run;
         run.finish(
--- a/library/src/main/java/org/siskinramp/routing/LoanDesk.java
+++ b/library/src/main/java/org/siskinramp/routing/LoanDesk.java
@@ -12,6 +12,7 @@
 import org.siskinramp.peer.LoanAsk;
 import org.siskinramp.peer.LoanGrant;
 import org.siskinramp.peer.LoanReturn;
+import org.siskinramp.peer.LoanReturn.ReturnedLoan;
 import org.siskinramp.slot.SlotKey;
 
 /**
@@ -61,14 +62,7 @@
     }
 
     private List<Slot> lendable(long now) {
-        return state.usableSlots(now).stream()
-                .filter(slot -> !slot.isBorrowed())
-                .filter(slot -> isWarm(slot))
-                .toList();
-    }
-
-    private boolean isWarm(Slot slot) {
-        return state.servers().get(slot.key().backendServer()).warmth().isWarm();
+        return state.usableSlots(now).stream().filter(slot -> !slot.isBorrowed()).toList();
     }
 
     /**
@@ -188,15 +182,18 @@
         askOpenUntil = now;
         hearSpare(lender, grant.spare());
         Ask ask = asks.remove(grant.askNumber());
-        List<Long> useless = new ArrayList<>();
+        List<ReturnedLoan> useless = new ArrayList<>();
         for (LoanGrant.Loan loan : grant.loans()) {
+            if (state.slots().isBorrowed(lender, loan.loanNumber())) {
+                continue;
+            }
             boolean known = ask != null && ask.lender.equals(lender);
             long usableUntil = known ? ask.sentAt + loan.termMilliseconds() : now;
             SlotKey key = new SlotKey(loan.backendServer(), loan.index());
             Slot slot =
                     Slot.borrowed(key, lender, loan.loanNumber(), usableUntil, loan.bootIdentity());
             if (now >= usableUntil || !state.slots().borrow(slot)) {
-                useless.add(loan.loanNumber());
+                useless.add(new ReturnedLoan(loan.loanNumber(), 0));
             }
         }
         giveBack(lender, useless, effects);
@@ -208,17 +205,17 @@
      * @param effects what happens outside the lock
      */
     void giveBackIdle(Effects effects) {
-        Map<String, List<Long>> byLender = new TreeMap<>();
+        Map<String, List<ReturnedLoan>> byLender = new TreeMap<>();
         for (Slot slot : state.slots().removeIdleBorrowed(state.now())) {
             byLender.computeIfAbsent(slot.lender(), host -> new ArrayList<>())
-                    .add(slot.loanNumber());
+                    .add(new ReturnedLoan(slot.loanNumber(), slot.answers()));
         }
-        byLender.forEach((lender, numbers) -> giveBack(lender, numbers, effects));
+        byLender.forEach((lender, loans) -> giveBack(lender, loans, effects));
     }
 
-    private void giveBack(String lender, List<Long> numbers, Effects effects) {
-        if (!numbers.isEmpty()) {
-            LoanReturn message = new LoanReturn(state.service().name(), numbers);
+    private void giveBack(String lender, List<ReturnedLoan> loans, Effects effects) {
+        if (!loans.isEmpty()) {
+            LoanReturn message = new LoanReturn(state.service().name(), loans);
             effects.add(() -> state.environment().peerSender().send(lender, message));
         }
     }
@@ -227,18 +224,26 @@
      * Takes slots back.
      *
      * @param borrower the host that returns them
-     * @param message the numbers of the loans
+     * @param message the loans that end
      */
     void takeBack(String borrower, LoanReturn message) {
-        for (long number : message.loanNumbers()) {
-            Slot slot = lent.get(number);
+        for (ReturnedLoan loan : message.loans()) {
+            Slot slot = lent.get(loan.loanNumber());
             if (slot != null && borrower.equals(slot.borrower())) {
-                lent.remove(number);
+                lent.remove(loan.loanNumber());
                 slot.end();
+                learn(slot, loan.answers());
             }
         }
     }
 
+    private void learn(Slot slot, int answers) {
+        ServerState server = state.servers().get(slot.key().backendServer());
+        if (server != null) {
+            server.warmth().recordAnswersElsewhere(answers, state.now());
+        }
+    }
+
     /** Takes back the slots whose loan has run out without a return. */
     void settle() {
         long now = state.now();
--- a/library/src/main/java/org/siskinramp/routing/ServerObserver.java
+++ b/library/src/main/java/org/siskinramp/routing/ServerObserver.java
@@ -75,7 +75,7 @@
             recordFailure(server, now);
             return;
         }
-        server.health().recordSuccess(latencyMilliseconds);
+        server.health().recordSuccess(latencyMilliseconds, now);
         state.latencies().add(latencyMilliseconds);
         if (server.warmth().recordAnswer(latencyMilliseconds, now)) {
             foundCold(server, "slow", effects);
--- a/library/src/main/java/org/siskinramp/routing/ServerState.java
+++ b/library/src/main/java/org/siskinramp/routing/ServerState.java
@@ -174,11 +174,11 @@
         return hashes;
     }
 
-    ServerCandidate candidate(String availabilityZone) {
+    ServerCandidate candidate(String availabilityZone, long now, double typicalMilliseconds) {
         return new ServerCandidate(
                 backendServer.name(),
                 backendServer.availabilityZone().equals(availabilityZone),
-                health.score(),
+                health.score(now, typicalMilliseconds),
                 requestsInProgress,
                 reportedLoad);
     }
--- a/library/src/main/java/org/siskinramp/routing/ServiceState.java
+++ b/library/src/main/java/org/siskinramp/routing/ServiceState.java
@@ -177,9 +177,16 @@
         if (byServer.isEmpty()) {
             return Optional.empty();
         }
+        double typical = (double) typicalLatencyMilliseconds();
         List<ServerCandidate> candidates =
                 byServer.keySet().stream()
-                        .map(name -> servers.get(name).candidate(environment.availabilityZone()))
+                        .map(
+                                name ->
+                                        servers.get(name)
+                                                .candidate(
+                                                        environment.availabilityZone(),
+                                                        now,
+                                                        typical))
                         .toList();
         int chosen = options.serverChoice().choose(candidates, environment.random());
         return Optional.of(byServer.get(candidates.get(chosen).backendServer()));
--- a/library/src/main/java/org/siskinramp/routing/Slot.java
+++ b/library/src/main/java/org/siskinramp/routing/Slot.java
@@ -25,6 +25,7 @@
     private volatile boolean held = true;
     private Use use = Use.IDLE;
     private long useEnds;
+    private int answers;
     private String borrower;
 
     private Slot(
@@ -110,6 +111,15 @@
         use = Use.BUSY;
     }
 
+    /** Counts an answer in time to a request in this slot. */
+    void countAnswer() {
+        answers++;
+    }
+
+    int answers() {
+        return answers;
+    }
+
     void end() {
         use = Use.IDLE;
     }
--- a/library/src/main/java/org/siskinramp/routing/SlotTable.java
+++ b/library/src/main/java/org/siskinramp/routing/SlotTable.java
@@ -53,6 +53,18 @@
         return borrowed.putIfAbsent(slot.key(), slot) == null;
     }
 
+    /**
+     * Tells whether a loan is in use here. A repeated grant of it must not give it back.
+     *
+     * @param lender the lending host
+     * @param loanNumber the lender's number of the loan
+     * @return true until the loan is given back
+     */
+    boolean isBorrowed(String lender, long loanNumber) {
+        return borrowed.values().stream()
+                .anyMatch(slot -> slot.lender().equals(lender) && slot.loanNumber() == loanNumber);
+    }
+
     /**
      * Takes out the borrowed slots that are idle.
      *
--- a/library/src/main/java/org/siskinramp/warmth/ServerWarmth.java
+++ b/library/src/main/java/org/siskinramp/warmth/ServerWarmth.java
@@ -265,6 +265,18 @@
         return false;
     }
 
+    /**
+     * Takes in the answers that a borrower of a slot got in time.
+     *
+     * @param answers how many
+     * @param now monotonic milliseconds
+     */
+    public void recordAnswersElsewhere(int answers, long now) {
+        for (int count = 0; judge && count < answers; count++) {
+            rise(now);
+        }
+    }
+
     private void rise(long now) {
         answersInStep++;
         boolean ripe =
--- /dev/null
+++ b/library/src/test/java/org/siskinramp/host/RandomisedRuns.java
@@ -0,0 +1,64 @@
+package org.siskinramp.host;
+
+import java.io.PrintStream;
+import java.util.List;
+import java.util.stream.LongStream;
+
+/** Executes randomised runs of a range of seeds and prints what they found. */
+public final class RandomisedRuns {
+
+    private RandomisedRuns() {}
+
+    /**
+     * Executes runs, several at a time.
+     *
+     * @param first the first seed
+     * @param last the last seed
+     * @param output where a line for each run and the events behind each violation go
+     * @return how many runs found a violation
+     */
+    public static long execute(long first, long last, PrintStream output) {
+        return LongStream.rangeClosed(first, last)
+                .parallel()
+                .filter(seed -> !execute(seed, output))
+                .count();
+    }
+
+    private static boolean execute(long seed, PrintStream output) {
+        RandomisedRun run = new RandomisedRun(seed, RandomisedRun.Options.DEFAULT);
+        List<String> violations = run.execute();
+        output.printf(
+                "event=randomised_run seed=%d violations=%d %s%n",
+                seed, violations.size(), run.summary());
+        if (!violations.isEmpty()) {
+            report(run, violations, output);
+        }
+        return violations.isEmpty();
+    }
+
+    private static void report(RandomisedRun run, List<String> violations, PrintStream output) {
+        synchronized (output) {
+            violations.stream().limit(10).forEach(text -> output.println("  violation: " + text));
+            run.eventsWith(" fault ").forEach(event -> output.println("  " + event));
+            output.printf(
+                    "  again: bin/stand-in randomised --seeds %d..%d%n", run.seed(), run.seed());
+        }
+    }
+
+    /**
+     * Runs a range of seeds given as {@code A..B}, and prints the events that mention a word.
+     *
+     * @param arguments the range, and a word to look for
+     */
+    public static void main(String[] arguments) {
+        String[] range = arguments[0].split("\\.\\.", -1);
+        if (arguments.length > 1) {
+            RandomisedRun run =
+                    new RandomisedRun(Long.parseLong(range[0]), RandomisedRun.Options.DEFAULT);
+            run.execute().forEach(System.out::println);
+            run.eventsWith(arguments[1]).forEach(System.out::println);
+            return;
+        }
+        execute(Long.parseLong(range[0]), Long.parseLong(range[1]), System.out);
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/siskinramp/host/RunTrace.java
@@ -0,0 +1,37 @@
+package org.siskinramp.host;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+/** Keeps the latest events of a randomised run and the violations that it found. */
+final class RunTrace {
+
+    private static final int EVENTS_KEPT = 100_000;
+
+    private final Deque<String> events = new ArrayDeque<>();
+    private final List<String> violations = new ArrayList<>();
+
+    void add(long now, String host, String line) {
+        if (events.size() == EVENTS_KEPT) {
+            events.remove();
+        }
+        events.add(now + " " + host + " " + line);
+    }
+
+    void violation(String text) {
+        violations.add(text);
+    }
+
+    List<String> violations() {
+        return violations;
+    }
+
+    /** Lists the kept events that mention a word. */
+    List<String> eventsWith(String word) {
+        List<String> found = new ArrayList<>();
+        events.stream().filter(event -> event.contains(word)).forEach(found::add);
+        return found;
+    }
+}
--- a/library/src/test/java/org/siskinramp/routing/FakeServers.java
+++ b/library/src/test/java/org/siskinramp/routing/FakeServers.java
@@ -1,5 +1,6 @@
 package org.siskinramp.routing;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -15,7 +16,7 @@
 import org.siskinramp.attempt.LoadReport;
 import org.siskinramp.configuration.BackendServer;
 import org.siskinramp.request.Answer;
-import org.siskinramp.request.Request;
+import org.siskinramp.request.RequestKey;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.time.VirtualTime;
 
@@ -51,8 +52,8 @@
         return overloads;
     }
 
-    public int runsOf(Request request) {
-        return runs.getOrDefault(request.key().toString(), 0);
+    public int runsOf(RequestKey key) {
+        return runs.getOrDefault(key.toString(), 0);
     }
 
     public int probes() {
@@ -120,7 +121,8 @@
         leave(entry);
         entry.server.answers++;
         int status = entry.server.failsFast ? 500 : 200;
-        Answer answer = new Answer(ResultCode.ANSWERED, status, List.of(), new byte[0]);
+        byte[] body = entry.attempt.request().key().toString().getBytes(StandardCharsets.UTF_8);
+        Answer answer = new Answer(ResultCode.ANSWERED, status, List.of(), body);
         LoadReport report = entry.server.report();
         time.schedule(
                 DISTANCE_MILLISECONDS,
@@ -208,6 +210,10 @@
             return new LoadReport(name + "-" + boot, inProgress, leaving);
         }
 
+        public String name() {
+            return name;
+        }
+
         /** Makes the server cold until it has given some answers. */
         public Server bearsWhenCold(int requests, int answersUntilWarm) {
             coldSlots = requests;
--- a/library/src/test/java/org/siskinramp/routing/RoutingCell.java
+++ b/library/src/test/java/org/siskinramp/routing/RoutingCell.java
@@ -44,6 +44,7 @@
     final UniformRandomProvider random;
     Configuration configuration;
     long authorityUntil = Long.MAX_VALUE;
+    boolean repeatsMessages;
     int peerMessages;
     private int nextRequest = 1;
 
@@ -140,6 +141,10 @@
     private void deliver(String from, String to, PeerMessage message) {
         peerMessages++;
         time.schedule(PEER_DISTANCE_MILLISECONDS, () -> hosts.get(to).receive(from, message));
+        if (repeatsMessages) {
+            time.schedule(
+                    5 * PEER_DISTANCE_MILLISECONDS, () -> hosts.get(to).receive(from, message));
+        }
     }
 
     private void assignSlots() {
@@ -192,6 +197,17 @@
         time.schedule(HEARTBEAT_MILLISECONDS, this::heartbeat);
     }
 
+    /** Returns how many slots of a server its judge lets be used. */
+    int judgedAllowance(String backendServer) {
+        return hosts.values().stream()
+                .flatMap(routers -> routers.judgedServers().stream())
+                .map(JudgedServer::allowance)
+                .filter(allowance -> allowance.backendServer().equals(backendServer))
+                .mapToInt(ServerAllowance::allowance)
+                .findFirst()
+                .orElse(-1);
+    }
+
     /** Files a ticket that takes an availability zone out or brings it back. */
     void setAvailabilityZone(String name, ServiceState state) {
         configuration =
--- a/library/src/test/java/org/siskinramp/routing/RoutingTest.java
+++ b/library/src/test/java/org/siskinramp/routing/RoutingTest.java
@@ -58,7 +58,7 @@
         RequestRun run = cell.send("entry-0", RoutingCell.ORDER, "/portal/a", 500);
         cell.time.advance(500);
         assertEquals(200, run.answer().join().status());
-        assertEquals(1, cell.servers.runsOf(run.request()));
+        assertEquals(1, cell.servers.runsOf(run.request().key()));
     }
 
     @Test
@@ -90,9 +90,11 @@
         cell.servers.server("server-1").bearsWhenCold(1, 20);
         cell.servers.server("server-1").setDown(true);
         cell.time.schedule(300, () -> cell.servers.server("server-1").setDown(false));
-        load(cell, 300, 4_000, RoutingCell.READ);
+        load(cell, 300, 8_000, RoutingCell.READ);
         assertEquals(List.of(), cell.servers.overloads());
-        assertTrue(cell.servers.server("server-1").answers() > 100);
+        int answers = cell.servers.server("server-1").answers();
+        assertTrue(answers > 100, "answers " + answers);
+        assertEquals(4, cell.judgedAllowance("server-1"));
     }
 
     @Test
@@ -113,7 +115,20 @@
         cell.servers.server("server-1").setLeaving(true);
         List<RequestRun> runs = load(cell, 300, 2_000, RoutingCell.ORDER);
         assertEquals(runs.size(), answered(runs));
-        assertTrue(runs.stream().allMatch(run -> cell.servers.runsOf(run.request()) == 1));
+        assertTrue(runs.stream().allMatch(run -> cell.servers.runsOf(run.request().key()) == 1));
+    }
+
+    @Test
+    void repeatedLoanMessagesGiveNoSlotToTwoHosts() {
+        RoutingCell cell = cell(4, 8, 4);
+        cell.repeatsMessages = true;
+        load(cell, 500, 3_000, RoutingCell.READ);
+        for (int at = 0; at < 3_000; at += 2) {
+            cell.time.schedule(
+                    at, () -> cell.send("entry-0", RoutingCell.READ, "/portal/a", 1_000));
+        }
+        cell.time.advance(5_000);
+        assertEquals(List.of(), cell.servers.overloads());
     }
 
     @Test
@@ -152,7 +167,7 @@
         cell.authorityUntil = 0;
         RequestRun run = cell.send("entry-0", RoutingCell.ORDER, "/portal/a", 500);
         cell.time.advance(1_000);
-        assertEquals(0, cell.servers.runsOf(run.request()));
+        assertEquals(0, cell.servers.runsOf(run.request().key()));
         assertEquals(ResultCode.DEADLINE_PASSED, codeOf(run));
     }
 
@@ -178,7 +193,7 @@
         RequestRun run = cell.send("entry-0", RoutingCell.ORDER, "/portal/crash", 1_000);
         cell.time.advance(2_000);
         assertEquals(ResultCode.OUTCOME_UNKNOWN, codeOf(run));
-        assertEquals(1, cell.servers.runsOf(run.request()));
+        assertEquals(1, cell.servers.runsOf(run.request().key()));
     }
 
     @Test
