Prove the membership by randomised faults, and mend what they showed

An offer now goes to one host. - The note that a backend server is new outlived a loss of authority or a move of the slot, so two hosts could hold one. A former incarnation is heard again when the present one has been silent for a lease term; promises do not depend on that order. - A view whose members were all lost never settled. Members that the platform has not listed for 30 s count as stopped there too.

A time limit that is lowered while a host restarts is not covered.

--- a/library/src/main/java/org/siskinramp/membership/Claims.java
+++ b/library/src/main/java/org/siskinramp/membership/Claims.java
@@ -20,6 +20,7 @@
     private final Map<SlotKey, Claim> open = new HashMap<>();
     private final Set<SlotKey> held = new HashSet<>();
     private final Map<SlotKey, Hold> former = new HashMap<>();
+    private final Set<SlotKey> noted = new HashSet<>();
     private final Map<SlotKey, Long> offers = new HashMap<>();
     private Claim unborn = new Claim(Long.MAX_VALUE);
 
@@ -48,6 +49,7 @@
         held.forEach(slot -> former.put(slot, new Hold(heldUntil, heard, true, false)));
         held.clear();
         unborn = new Claim(Long.MAX_VALUE);
+        forgetNoted(Set.of());
     }
 
     /** Gives up the slots that this host does not own any more. */
@@ -60,6 +62,17 @@
             }
         }
         former.replaceAll((slot, hold) -> owned.contains(slot) ? hold : hold.asEnded());
+        forgetNoted(owned);
+    }
+
+    /** Drops the notes about new slots that others may have noted since as well. */
+    private void forgetNoted(Set<SlotKey> kept) {
+        for (SlotKey slot : Set.copyOf(noted)) {
+            if (!kept.contains(slot)) {
+                noted.remove(slot);
+                former.remove(slot);
+            }
+        }
     }
 
     /** Starts to claim the owned slots that are neither held nor claimed yet. */
@@ -80,6 +93,7 @@
         if (unbornClearSince.isPresent()
                 && now >= unbornClearSince.getAsLong() + waitMilliseconds(slot)) {
             former.put(slot, new Hold(now, Map.of(), false, false));
+            noted.add(slot);
         }
     }
 
@@ -102,6 +116,7 @@
             if (since.isPresent() && isFree(entry.getKey(), since.getAsLong(), now)) {
                 open.remove(entry.getKey());
                 held.add(entry.getKey());
+                noted.remove(entry.getKey());
             }
         }
     }
--- a/library/src/main/java/org/siskinramp/membership/Members.java
+++ b/library/src/main/java/org/siskinramp/membership/Members.java
@@ -81,7 +81,7 @@
     /** Returns since when a host counts as stopped because the platform does not list it. */
     OptionalLong stoppedSince(String name) {
         Long since = absentSince.get(name);
-        if (since == null || names.contains(name)) {
+        if (since == null) {
             return OptionalLong.empty();
         }
         long stopped = since + options.listAbsenceMilliseconds();
--- a/library/src/main/java/org/siskinramp/membership/Membership.java
+++ b/library/src/main/java/org/siskinramp/membership/Membership.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
@@ -12,6 +13,7 @@
 import org.siskinramp.configuration.Configuration;
 import org.siskinramp.log.EventLog;
 import org.siskinramp.log.LogEvent;
+import org.siskinramp.peer.Acknowledgement;
 import org.siskinramp.peer.Heartbeat;
 import org.siskinramp.peer.PeerMessage;
 import org.siskinramp.peer.PeerSender;
@@ -194,18 +196,7 @@
 
     @Override
     public void released(SlotKey slot) {
-        update(
-                now ->
-                        table.release(slot)
-                                .ifPresent(
-                                        hold -> {
-                                            if (table.isStopping()) {
-                                                signOff.add(slot, hold);
-                                                sendSignOff();
-                                            } else {
-                                                sendRelease(slot, hold);
-                                            }
-                                        }));
+        update(now -> table.release(slot).ifPresent(hold -> offer(slot, hold)));
     }
 
     /**
@@ -346,20 +337,28 @@
         }
     }
 
-    private void sendRelease(SlotKey slot, Hold hold) {
-        table.otherOwner(slot)
-                .filter(hold.heard()::containsKey)
-                .ifPresent(
-                        owner ->
-                                send(
-                                        owner,
-                                        new SlotRelease(
-                                                table.members().view().version(),
-                                                table.configuration().version(),
-                                                false,
-                                                List.of(SignOff.released(slot)),
-                                                incarnation,
-                                                List.of(hold.heard().get(owner)))));
+    private void offer(SlotKey slot, Hold hold) {
+        Optional<String> owner = table.otherOwner(slot).filter(hold.heard()::containsKey);
+        if (owner.isEmpty()) {
+            return;
+        }
+        Acknowledgement heard = hold.heard().get(owner.get());
+        if (table.isStopping()) {
+            signOff.add(slot, owner.get(), heard);
+            sendSignOff();
+        } else {
+            send(owner.get(), release(slot, heard));
+        }
+    }
+
+    private SlotRelease release(SlotKey slot, Acknowledgement heard) {
+        return new SlotRelease(
+                table.members().view().version(),
+                table.configuration().version(),
+                false,
+                List.of(SignOff.released(slot)),
+                incarnation,
+                List.of(heard));
     }
 
     private void send(String peer, PeerMessage message) {
--- a/library/src/main/java/org/siskinramp/membership/MembershipTable.java
+++ b/library/src/main/java/org/siskinramp/membership/MembershipTable.java
@@ -117,7 +117,7 @@
 
     void receive(String host, Heartbeat heartbeat, long now) {
         PeerState peer = peers.computeIfAbsent(host, any -> new PeerState());
-        if (!peer.isNews(heartbeat)) {
+        if (!peer.isNews(heartbeat, leaseTerm(), now)) {
             return;
         }
         peer.hear(heartbeat, incarnation, options.leaseTermMilliseconds(), now);
--- a/library/src/main/java/org/siskinramp/membership/PeerState.java
+++ b/library/src/main/java/org/siskinramp/membership/PeerState.java
@@ -25,14 +25,20 @@
     /**
      * Tells whether a heartbeat is newer than all that were heard.
      *
+     * <p>A late heartbeat of an earlier incarnation may look like a new incarnation. Therefore a
+     * former incarnation is heard again once the present one has been silent for a lease term.
+     *
      * @param heartbeat the heartbeat
+     * @param leaseTermMilliseconds how long a silent incarnation stays the present one
+     * @param now the time
      * @return false for a repeated or overtaken heartbeat
      */
-    boolean isNews(Heartbeat heartbeat) {
+    boolean isNews(Heartbeat heartbeat, long leaseTermMilliseconds, long now) {
         if (heartbeat.incarnation().equals(incarnation)) {
             return heartbeat.sentMilliseconds() > sentMilliseconds;
         }
-        return !formerIncarnations.contains(heartbeat.incarnation());
+        return !formerIncarnations.contains(heartbeat.incarnation())
+                || now >= heardAt + leaseTermMilliseconds;
     }
 
     /**
--- a/library/src/main/java/org/siskinramp/membership/SignOff.java
+++ b/library/src/main/java/org/siskinramp/membership/SignOff.java
@@ -12,7 +12,7 @@
 /** Collects what a stopping host tells all its peers again and again until it ends. */
 final class SignOff {
 
-    private final Map<SlotKey, Hold> idle = new TreeMap<>();
+    private final Map<SlotKey, Idle> idle = new TreeMap<>();
     private boolean begun;
 
     void begin() {
@@ -23,18 +23,19 @@
         return begun;
     }
 
-    void add(SlotKey slot, Hold hold) {
-        idle.put(slot, hold);
+    /** Adds an idle slot, for one receiver only: two could start work there at the same time. */
+    void add(SlotKey slot, String receiver, Acknowledgement heard) {
+        idle.putIfAbsent(slot, new Idle(receiver, heard));
     }
 
     SlotRelease release(String peer, String incarnation, SlotHoldings versions) {
         List<SlotRelease.ReleasedSlot> slots = new ArrayList<>();
         List<Acknowledgement> heard = new ArrayList<>();
         idle.forEach(
-                (slot, hold) -> {
-                    if (hold.heard().containsKey(peer)) {
+                (slot, offer) -> {
+                    if (offer.receiver().equals(peer)) {
                         slots.add(released(slot));
-                        heard.add(hold.heard().get(peer));
+                        heard.add(offer.heard());
                     }
                 });
         return new SlotRelease(
@@ -49,4 +50,6 @@
     static SlotRelease.ReleasedSlot released(SlotKey slot) {
         return new SlotRelease.ReleasedSlot(slot.backendServer(), slot.index());
     }
+
+    private record Idle(String receiver, Acknowledgement heard) {}
 }
--- a/library/src/main/java/org/siskinramp/membership/package-info.java
+++ b/library/src/main/java/org/siskinramp/membership/package-info.java
@@ -16,9 +16,11 @@
  * majority does not suspect. A host that becomes the owner claims the slot. It may use the slot
  * once every other member either said after the start of the claim that it acts on the same
  * versions, or is suspected by a majority, and the longest time limit of a request has passed
- * since. The wait is left out if the host itself held the slot less than a time limit ago and has
- * not released it, or if the former holder released it and proves by repeating a heartbeat that it
- * held the slot less than a time limit ago: any other host would have had to wait longer.
+ * since. The wait is left out in three cases, in which any other host would have had to wait
+ * longer: the host itself held the slot less than a time limit ago and has not released it; the
+ * former holder released it to this host alone and proves by repeating a heartbeat that it held the
+ * slot less than a time limit ago; or the backend server is new and all members had long acted on
+ * equal versions without it.
  *
  * <p><b>Views.</b> A member acknowledges only hosts whose view is not older than its own. A view
  * names the members of the view before it. Until a majority of these is known to have moved on for
--- a/library/src/test/java/org/siskinramp/membership/Deployment.java
+++ b/library/src/test/java/org/siskinramp/membership/Deployment.java
@@ -1,5 +1,6 @@
 package org.siskinramp.membership;
 
+import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -12,6 +13,7 @@
 import org.siskinramp.configuration.Service;
 import org.siskinramp.configuration.ServiceState;
 import org.siskinramp.peer.PeerMessage;
+import org.siskinramp.platform.Platform;
 import org.siskinramp.slot.SlotKey;
 
 /** Runs entry hosts in virtual time and checks that no slot is in use by two of them. */
@@ -30,10 +32,12 @@
     private final Map<String, SimulatedHost> hosts = new TreeMap<>();
     private final List<SimulatedHost> incarnations = new ArrayList<>();
     private final Set<String> cuts = new HashSet<>();
+    private final Set<String> storeCuts = new HashSet<>();
     private final List<String> violations = new ArrayList<>();
     private final List<SlotKey> slots = new ArrayList<>();
     private Configuration configuration = Configuration.empty();
     private double disorder;
+    private int startCount;
 
     Deployment(long seed, MembershipOptions options) {
         random = new Random(seed);
@@ -58,9 +62,9 @@
         SimulatedHost started =
                 new SimulatedHost(
                         host,
-                        host + "/" + incarnations.size(),
+                        host + "/" + startCount++,
                         time,
-                        platform,
+                        reachedBy(host),
                         (to, message) -> send(host, to, message),
                         options,
                         slot -> timeLimit(slot),
@@ -119,9 +123,20 @@
         }
     }
 
+    private Platform reachedBy(String host) {
+        return (Platform)
+                Proxy.newProxyInstance(
+                        Platform.class.getClassLoader(),
+                        new Class<?>[] {Platform.class},
+                        (proxy, method, arguments) ->
+                                storeCuts.contains(host)
+                                        ? FakePlatform.unavailable()
+                                        : method.invoke(platform, arguments));
+    }
+
     private void readConfiguration(SimulatedHost host) {
         Configuration newest = configuration;
-        if (platform.isAvailable()) {
+        if (platform.isAvailable() && !storeCuts.contains(host.name())) {
             time.after(random.nextInt(100), () -> host.applyConfiguration(newest));
         }
     }
@@ -186,8 +201,13 @@
         cuts.add(from + ">" + to);
     }
 
+    void cutFromStore(String host) {
+        storeCuts.add(host);
+    }
+
     void heal() {
         cuts.clear();
+        storeCuts.clear();
         disorder = 0;
         platform.available(true);
         platform.losingAnswers(false);
--- a/library/src/test/java/org/siskinramp/membership/FakePlatform.java
+++ b/library/src/test/java/org/siskinramp/membership/FakePlatform.java
@@ -94,6 +94,10 @@
         throw new UnsupportedOperationException();
     }
 
+    static <T> CompletableFuture<T> unavailable() {
+        return failed(ResultCode.PLATFORM_UNAVAILABLE);
+    }
+
     private static <T> CompletableFuture<T> failed(ResultCode code) {
         return CompletableFuture.failedFuture(new ResultException(code, "test"));
     }
--- a/library/src/test/java/org/siskinramp/membership/SimulatedHost.java
+++ b/library/src/test/java/org/siskinramp/membership/SimulatedHost.java
@@ -12,6 +12,7 @@
 import org.siskinramp.peer.PeerMessage;
 import org.siskinramp.peer.PeerSender;
 import org.siskinramp.peer.SlotRelease;
+import org.siskinramp.platform.Platform;
 import org.siskinramp.slot.SlotHoldings;
 import org.siskinramp.slot.SlotKey;
 import org.siskinramp.time.Clock;
@@ -36,7 +37,7 @@
             String name,
             String incarnation,
             VirtualTime time,
-            FakePlatform platform,
+            Platform platform,
             PeerSender sender,
             MembershipOptions options,
             ToLongFunction<SlotKey> timeLimit,
