Count the claims whose end is not durable

Cause: a planned stop could end before the ends of its claims were durable, which leaves requests that ran as "may have run". Ruled out: waiting for the futures of single settlements, since fenced refusals have none that the host sees. Change: ClaimLedger.unsettled() counts the entries of the claim table, open or settling; EntryHost.unsettledClaims() gives it out. Conclusion: a stop can wait until the count is zero.

--- a/library/src/main/java/org/siskinramp/host/EntryHost.java
+++ b/library/src/main/java/org/siskinramp/host/EntryHost.java
@@ -291,6 +291,15 @@
         return requestsInProgress.get();
     }
 
+    /**
+     * Counts the claims of non-idempotent requests that are open or whose end is not durable.
+     *
+     * @return the unsettled claims, zero once this host may stop
+     */
+    public int unsettledClaims() {
+        return ledger.unsettled();
+    }
+
     /**
      * Returns the configuration that this host acts on.
      *
--- a/library/src/main/java/org/siskinramp/ledger/ClaimLedger.java
+++ b/library/src/main/java/org/siskinramp/ledger/ClaimLedger.java
@@ -233,6 +233,16 @@
                         ResultCode.INVARIANT_VIOLATED, "the claim is not open: " + claim));
     }
 
+    /**
+     * Counts the claims that are open or whose end is not durable yet. A planned stop waits until
+     * there are none.
+     *
+     * @return the unsettled claims of this host
+     */
+    public int unsettled() {
+        return table.size();
+    }
+
     /** Collects the parts of a ledger. */
     public static final class Builder {
 
--- a/library/src/main/java/org/siskinramp/ledger/ClaimTable.java
+++ b/library/src/main/java/org/siskinramp/ledger/ClaimTable.java
@@ -81,6 +81,11 @@
         }
     }
 
+    /** Counts the claims that are open or whose end is not durable. */
+    synchronized int size() {
+        return entries.size();
+    }
+
     synchronized boolean isFull() {
         return entries.size() >= limit;
     }
--- a/library/src/test/java/org/siskinramp/ledger/ClaimLedgerTest.java
+++ b/library/src/test/java/org/siskinramp/ledger/ClaimLedgerTest.java
@@ -278,6 +278,20 @@
         assertEquals("done", kept(second.claim(request("1", "aa"))));
     }
 
+    @Test
+    void countsClaimsUntilTheirEndIsDurable() {
+        Claim claim = granted(first.claim(request("1", "aa")));
+        assertEquals(1, first.unsettled());
+        platform.setDown(true);
+        CompletableFuture<Void> durable = first.release(claim);
+        time.advance(60_000);
+        assertEquals(1, first.unsettled());
+        platform.setDown(false);
+        time.advance(10_000);
+        durable.join();
+        assertEquals(0, first.unsettled());
+    }
+
     @Test
     void groupsClaimsWithinItsShareOfTransactions() {
         for (int index = 0; index < 1_000; index++) {
