Run requests that stopped a server alone, and quarantine them after two stops

Cause: a request that crashes each server which runs it was only reported (RequestSuspicion.NONE); it ran again beside others. Change: ledger.SuspectRequests keeps stops by content hash, tells peers (SuspectRequest), merges their words upward, counts one stop reported by own host and peer once, expires after 10 min, and holds at most 4,096 hashes. A run that ends clears it (RequestSuspicion.ranToEnd). Content that ran to its end within 10 s before a stop is not suspected, so that a failing rack does not quarantine a popular read, whose hash all its copies share. Routing: Isolation keeps at most one judged server of a service free: a pause of the time limit and loan term, then a reservation of the time limit for suspects. A service with one server, or with an eighth of its servers cold, spares none. A suspect that cannot reach its turn is refused at once with a Retry-After of the pause. Quarantined requests are refused (215) by the dispatcher, so that copies which wait are refused too. Ruled out: refusing a quarantined non-idempotent request before its claim; its first copy may have run, so its claim answers first (OUTCOME_UNKNOWN), and only a free key gets 215. Suspects skip the check before the claim for the same reason. Found on the way: in the first run of guiltyRequestIsQuarantinedAndBystandersAreNot the request stopped servers 5 times where 2 were expected, since waiting copies ran on after the quarantine; the dispatcher now refuses them and the test is as written first. Negative run: withoutSuspicionTheSameRequestRunsBesideOthers. Conclusion: the guilty request of the test stops two servers, bystanders are cleared.

--- a/library/src/main/java/org/siskinramp/host/EntryHost.java
+++ b/library/src/main/java/org/siskinramp/host/EntryHost.java
@@ -1,11 +1,13 @@
 package org.siskinramp.host;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.siskinramp.configuration.Configuration;
 import org.siskinramp.ledger.Claim;
 import org.siskinramp.ledger.ClaimLedger;
 import org.siskinramp.ledger.ClaimResult;
+import org.siskinramp.ledger.SuspectRequests;
 import org.siskinramp.log.Counter;
 import org.siskinramp.log.Counters;
 import org.siskinramp.log.EventLog;
@@ -16,6 +18,7 @@
 import org.siskinramp.peer.Heartbeat;
 import org.siskinramp.peer.PeerMessage;
 import org.siskinramp.peer.SlotRelease;
+import org.siskinramp.peer.SuspectRequest;
 import org.siskinramp.request.Answer;
 import org.siskinramp.request.Request;
 import org.siskinramp.result.Futures;
@@ -59,6 +62,7 @@
     private final Tickets tickets;
     private final ConfigurationFollower configurationFollower;
     private final ClaimLedger ledger;
+    private final SuspectRequests suspects;
     private final AtomicInteger requestsInProgress = new AtomicInteger();
     private volatile boolean draining;
     private volatile boolean refusing;
@@ -78,6 +82,7 @@
         tickets = parts.tickets();
         configurationFollower = parts.configurationFollower();
         ledger = parts.ledger();
+        suspects = parts.suspects();
     }
 
     /**
@@ -152,7 +157,7 @@
     }
 
     private CompletableFuture<Answer> runAtMostOnce(Request request, ServiceRouter router) {
-        return router.refusalOf(request)
+        return refusalBeforeClaim(request, router)
                 .map(CompletableFuture::<Answer>failedFuture)
                 .orElseGet(
                         () ->
@@ -161,6 +166,13 @@
                                                 result -> runClaimed(request, router, result)));
     }
 
+    /** Leaves a suspect to its claim, since an earlier copy of it may well have run. */
+    private Optional<ResultException> refusalBeforeClaim(Request request, ServiceRouter router) {
+        return suspects.mustRunAlone(request.contentHash())
+                ? Optional.empty()
+                : router.refusalOf(request);
+    }
+
     private CompletableFuture<Answer> runClaimed(
             Request request, ServiceRouter router, ClaimResult result) {
         if (result instanceof ClaimResult.Kept kept) {
@@ -217,6 +229,8 @@
             words.receive(host, heartbeat);
         } else if (message instanceof SlotRelease release) {
             membership.receive(host, release);
+        } else if (message instanceof SuspectRequest suspect) {
+            suspects.receive(host, suspect);
         } else if (message instanceof ConfigurationNotice notice) {
             configurationFollower.notice(notice.version());
         } else {
--- a/library/src/main/java/org/siskinramp/host/EntryHostParts.java
+++ b/library/src/main/java/org/siskinramp/host/EntryHostParts.java
@@ -4,12 +4,13 @@
 import org.siskinramp.configuration.Configuration;
 import org.siskinramp.configuration.Service;
 import org.siskinramp.ledger.ClaimLedger;
+import org.siskinramp.ledger.SuspectRequests;
+import org.siskinramp.ledger.SuspicionOptions;
 import org.siskinramp.membership.Membership;
 import org.siskinramp.membership.ViewFollower;
 import org.siskinramp.platform.Platform;
 import org.siskinramp.platform.TimedPlatform;
 import org.siskinramp.routing.MessageBudget;
-import org.siskinramp.routing.RequestSuspicion;
 import org.siskinramp.routing.RoutingEnvironment;
 import org.siskinramp.routing.ServiceRouter;
 import org.siskinramp.routing.ServiceRouters;
@@ -31,6 +32,7 @@
     private final Tickets tickets;
     private final ConfigurationFollower configurationFollower;
     private final ClaimLedger ledger;
+    private final SuspectRequests suspects;
     private final MessageBudget loanMessages;
 
     EntryHostParts(EntryHostBuilder builder, Consumer<Configuration> configurationListener) {
@@ -46,6 +48,12 @@
                         builder.clock(), builder.options().routing().loanMessagesPerSecond());
         routers = new ServiceRouters(this::newRouter);
         words = new WarmthWords(builder.identity(), builder.peerSender(), routers);
+        suspects =
+                new SuspectRequests(
+                        builder.clock(),
+                        builder.eventLog(),
+                        SuspicionOptions.DEFAULT,
+                        words::announce);
         membership = newMembership();
         words.connect(membership);
         viewFollower = newViewFollower();
@@ -113,7 +121,7 @@
                         builder.newRandom(),
                         membership,
                         membership,
-                        RequestSuspicion.NONE);
+                        suspects);
         return new ServiceRouter(
                 environment, builder.options().routing(), service, loanMessages, words);
     }
@@ -145,4 +153,8 @@
     ClaimLedger ledger() {
         return ledger;
     }
+
+    SuspectRequests suspects() {
+        return suspects;
+    }
 }
--- a/library/src/main/java/org/siskinramp/host/WarmthWords.java
+++ b/library/src/main/java/org/siskinramp/host/WarmthWords.java
@@ -12,7 +12,6 @@
 import org.siskinramp.peer.Acknowledgement;
 import org.siskinramp.peer.AllowanceChange;
 import org.siskinramp.peer.ColdSighting;
-import org.siskinramp.peer.ConfigurationNotice;
 import org.siskinramp.peer.Heartbeat;
 import org.siskinramp.peer.PeerMessage;
 import org.siskinramp.peer.PeerSender;
@@ -128,25 +127,21 @@
     }
 
     /**
-     * Tells every other entry host of a newer configuration.
+     * Sends a message to every other entry host.
      *
-     * @param notice the notice
+     * @param message the message
      */
-    void announce(ConfigurationNotice notice) {
-        sendToPeers(notice);
+    void announce(PeerMessage message) {
+        membership.peers().forEach(peer -> peerSender.send(peer.name(), message));
     }
 
     @Override
     public void tellReduction(ServerAllowance allowance) {
-        sendToPeers(new AllowanceChange(List.of(allowance)));
+        announce(new AllowanceChange(List.of(allowance)));
     }
 
     @Override
     public void tellSighting(String backendServer, String bootIdentity) {
-        sendToPeers(new ColdSighting(backendServer, bootIdentity));
-    }
-
-    private void sendToPeers(PeerMessage message) {
-        membership.peers().forEach(peer -> peerSender.send(peer.name(), message));
+        announce(new ColdSighting(backendServer, bootIdentity));
     }
 }
--- a/library/src/main/java/org/siskinramp/routing/Dispatcher.java
+++ b/library/src/main/java/org/siskinramp/routing/Dispatcher.java
@@ -4,7 +4,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import org.siskinramp.attempt.Attempt;
@@ -12,9 +11,7 @@
 import org.siskinramp.attempt.AttemptException;
 import org.siskinramp.log.Counter;
 import org.siskinramp.log.LogEvent;
-import org.siskinramp.request.Answer;
 import org.siskinramp.result.ResultCode;
-import org.siskinramp.result.ResultException;
 
 /**
  * Starts attempts, and decides what follows when they end: the answer, a retry, a wait or a
@@ -30,6 +27,8 @@
     private final ServiceState state;
     private final ServerObserver observer;
     private final AttemptListener listener;
+    private final Admission admission;
+    private final RequestEnds ends;
     private final ShareBudget retryBudget;
     private final ShareBudget hedgeBudget;
     private final Map<Long, OpenAttempt> open = new HashMap<>();
@@ -38,6 +37,8 @@
         this.state = state;
         this.observer = observer;
         this.listener = listener;
+        this.admission = new Admission(state);
+        this.ends = new RequestEnds(state, admission);
         this.retryBudget = new ShareBudget(state.options().retryShare());
         this.hedgeBudget = new ShareBudget(state.options().hedgeShare());
     }
@@ -74,44 +75,43 @@
     void submit(RequestRun run, Effects effects) {
         retryBudget.earn();
         hedgeBudget.earn();
+        if (state.isQuarantined(run)) {
+            ends.giveUp(run, ResultCode.QUARANTINED, effects);
+            return;
+        }
+        prepare(run, effects);
         Optional<Slot> slot = state.chooseSlot(run, state.now());
         if (slot.isPresent()) {
             start(run, slot.get(), "first", effects);
             return;
         }
-        Optional<ResultCode> refusal = refusalOf(run);
+        Optional<ResultCode> refusal = admission.refusalOf(run);
         if (refusal.isPresent()) {
-            refuse(run, refusal.get(), effects);
+            ends.refuse(run, refusal.get(), effects);
             return;
         }
         enqueue(run, effects);
     }
 
-    /**
-     * Tells whether a request that has to wait would be refused at once.
-     *
-     * @param run the request
-     * @return the reason to refuse it, or empty if it may wait
-     */
-    Optional<ResultCode> refusalOf(RequestRun run) {
-        if (!state.hasServerForNewWork()) {
-            return Optional.of(ResultCode.NO_BACKEND_SERVER);
+    /** Isolates a server if a request must run alone and no server is alone. */
+    private void prepare(RequestRun run, Effects effects) {
+        if (state.mustRunAlone(run)) {
+            state.isolation()
+                    .candidate(state.now())
+                    .ifPresent(server -> observer.isolate(server, effects));
         }
-        if (state.queue().size() >= state.service().queueLimit()) {
-            return Optional.of(ResultCode.QUEUE_FULL);
-        }
-        if (state.now() + expectedWaitMilliseconds(run) > latestStart(run)) {
-            return Optional.of(ResultCode.DEADLINE_UNREACHABLE);
-        }
-        return Optional.empty();
+    }
+
+    Admission admission() {
+        return admission;
     }
 
     private void enqueue(RequestRun run, Effects effects) {
         long now = state.now();
         run.setWaiting(true);
-        state.queue().add(run, run.request().kind().weight(), latestStart(run));
+        state.queue().add(run, run.request().kind().weight(), admission.latestStart(run));
         state.environment().counters().add(Counter.WAITS);
-        long untilRefusal = Math.max(1, latestStart(run) - now);
+        long untilRefusal = Math.max(1, admission.latestStart(run) - now);
         long patience = state.options().loanPatienceMilliseconds();
         effects.add(
                 () -> {
@@ -120,24 +120,6 @@
                 });
     }
 
-    private long latestStart(RequestRun run) {
-        long deadline = run.request().deadlineMilliseconds();
-        long timeLeft = deadline - run.request().arrivedMilliseconds();
-        return deadline - Math.min(state.typicalLatencyMilliseconds(), timeLeft / 2);
-    }
-
-    /**
-     * Estimates how long a request would wait.
-     *
-     * @param run the request
-     * @return milliseconds
-     */
-    private long expectedWaitMilliseconds(RequestRun run) {
-        int ahead = state.queue().countAhead(run.request().kind().weight(), latestStart(run));
-        int slots = Math.max(1, state.slots().own().size() + state.slots().borrowed().size());
-        return ahead * state.typicalLatencyMilliseconds() / slots;
-    }
-
     /**
      * Starts waiting requests as far as slots allow, and refuses those that can no longer be
      * answered in time.
@@ -148,25 +130,29 @@
         long now = state.now();
         for (RequestRun expired : state.queue().takeExpired(now)) {
             expired.setWaiting(false);
-            giveUp(expired, ResultCode.DEADLINE_PASSED, effects);
+            ends.giveUp(expired, ResultCode.DEADLINE_PASSED, effects);
         }
-        while (state.queue().size() > 0 && hasUsableSlot(now)) {
+        while (state.queue().size() > 0 && state.hasUsableSlot(now)) {
             Optional<RequestRun> next =
-                    state.queue().takeFirst(run -> state.chooseSlot(run, now).isPresent());
+                    state.queue()
+                            .takeFirst(
+                                    run ->
+                                            state.isQuarantined(run)
+                                                    || state.chooseSlot(run, now).isPresent());
             if (next.isEmpty()) {
                 return;
             }
             next.get().setWaiting(false);
+            if (state.isQuarantined(next.get())) {
+                ends.giveUp(next.get(), ResultCode.QUARANTINED, effects);
+                continue;
+            }
             String reason = next.get().attemptCount() == 0 ? "waited" : "retry";
             state.chooseSlot(next.get(), now)
                     .ifPresent(slot -> start(next.get(), slot, reason, effects));
         }
     }
 
-    private boolean hasUsableSlot(long now) {
-        return !state.options().areSlotsOwned() || !state.usableSlots(now).isEmpty();
-    }
-
     /**
      * Refuses all waiting requests, since the service has no server for them any more.
      *
@@ -176,7 +162,7 @@
     void refuseWaiting(ResultCode code, Effects effects) {
         for (RequestRun run : state.queue().takeAll()) {
             run.setWaiting(false);
-            giveUp(run, code, effects);
+            ends.giveUp(run, code, effects);
         }
     }
 
@@ -305,6 +291,8 @@
         boolean failed = result.answer().status() >= SERVER_ERROR_STATUS;
         observer.answered(attempt.server, result, failed, state.now() - attempt.startedAt, effects);
         RequestRun run = attempt.run;
+        String contentHash = run.request().contentHash();
+        effects.add(() -> state.environment().requestSuspicion().ranToEnd(contentHash));
         run.finish(
                 attemptNumber,
                 new AttemptRecord(attempt.server.backendServer().name(), "answered", true));
@@ -314,7 +302,7 @@
         if (failed && run.isIdempotent() && retry(run, effects)) {
             return;
         }
-        finish(run, result.answer(), effects);
+        ends.finish(run, result.answer(), effects);
     }
 
     /**
@@ -349,7 +337,7 @@
         }
         boolean repeatable = run.isIdempotent() || !run.mayHaveRun();
         if (!repeatable || !retry(run, effects)) {
-            giveUp(run, ResultCode.SHED, effects);
+            ends.giveUp(run, ResultCode.SHED, effects);
         }
     }
 
@@ -357,8 +345,9 @@
         long now = state.now();
         boolean possible =
                 run.attemptCount() < ATTEMPTS_AT_MOST
-                        && now < latestStart(run)
-                        && state.hasUntriedServer(run);
+                        && now < admission.latestStart(run)
+                        && state.hasUntriedServer(run)
+                        && !(state.mustRunAlone(run) && run.mayHaveRun());
         if (!possible || !retryBudget.spend()) {
             return false;
         }
@@ -372,60 +361,6 @@
         return true;
     }
 
-    private void finish(RequestRun run, Answer answer, Effects effects) {
-        run.end();
-        for (long number : run.attemptsInProgress()) {
-            effects.add(() -> state.environment().backendServerLink().cancel(number));
-        }
-        effects.add(() -> run.answer().complete(answer));
-    }
-
-    private void giveUp(RequestRun run, ResultCode notRunCode, Effects effects) {
-        if (!run.mayHaveRun()) {
-            refuse(run, notRunCode, effects);
-            return;
-        }
-        if (!run.isIdempotent()) {
-            fail(run, ResultCode.OUTCOME_UNKNOWN, OptionalLong.empty(), effects);
-            return;
-        }
-        boolean late = state.now() >= latestStart(run);
-        fail(
-                run,
-                late ? ResultCode.TIMED_OUT : ResultCode.BACKEND_SERVER_FAILED,
-                OptionalLong.of(retryAfterMilliseconds()),
-                effects);
-    }
-
-    private void refuse(RequestRun run, ResultCode code, Effects effects) {
-        fail(run, code, OptionalLong.of(retryAfterMilliseconds()), effects);
-    }
-
-    long retryAfterMilliseconds() {
-        int slots = Math.max(1, state.slots().own().size());
-        return (state.queue().size() + 1) * state.typicalLatencyMilliseconds() / slots + 1;
-    }
-
-    private void fail(RequestRun run, ResultCode code, OptionalLong retryAfter, Effects effects) {
-        run.end();
-        state.environment()
-                .eventLog()
-                .record(
-                        LogEvent.named(code.isNotRun() ? "refuse" : "fail")
-                                .with("request", run.request().key())
-                                .with("service", state.service().name())
-                                .with("kind", run.request().kind().name())
-                                .with("code", code.number())
-                                .with("retry_after_ms", retryAfter.orElse(0))
-                                .with("attempts", run.attemptCount()));
-        String detail = "request=" + run.request().key();
-        ResultException failure =
-                retryAfter.isPresent()
-                        ? new ResultException(code, detail, retryAfter.getAsLong())
-                        : new ResultException(code, detail);
-        effects.add(() -> run.answer().completeExceptionally(failure));
-    }
-
     private static final class OpenAttempt {
         private final RequestRun run;
         private final Slot slot;
--- a/library/src/main/java/org/siskinramp/routing/RequestSuspicion.java
+++ b/library/src/main/java/org/siskinramp/routing/RequestSuspicion.java
@@ -11,8 +11,16 @@
                     return false;
                 }
 
+                @Override
+                public boolean isQuarantined(String contentHash) {
+                    return false;
+                }
+
                 @Override
                 public void serverStopped(String contentHash, String backendServer) {}
+
+                @Override
+                public void ranToEnd(String contentHash) {}
             };
 
     /**
@@ -23,6 +31,14 @@
      */
     boolean mustRunAlone(String contentHash);
 
+    /**
+     * Tells whether a request is refused, since servers stopped again while they ran it.
+     *
+     * @param contentHash the hash of the request
+     * @return true if it must not run
+     */
+    boolean isQuarantined(String contentHash);
+
     /**
      * Records that a server stopped while it ran a request.
      *
@@ -30,4 +46,11 @@
      * @param backendServer the server that stopped
      */
     void serverStopped(String contentHash, String backendServer);
+
+    /**
+     * Records that a server answered a request, which clears the request of suspicion.
+     *
+     * @param contentHash the hash of the request
+     */
+    void ranToEnd(String contentHash);
 }
--- a/library/src/main/java/org/siskinramp/routing/ServerObserver.java
+++ b/library/src/main/java/org/siskinramp/routing/ServerObserver.java
@@ -143,6 +143,18 @@
         tell(server, effects);
     }
 
+    /**
+     * Isolates a judged server and tells the other hosts.
+     *
+     * @param server the server
+     * @param effects what happens outside the lock
+     */
+    void isolate(ServerState server, Effects effects) {
+        state.isolation().begin(server, state.now());
+        log("server_isolated", server, "suspect_request");
+        tell(server, effects);
+    }
+
     private void close(ServerState server, String reason, Effects effects) {
         if (server.warmth().isClosed()) {
             return;
--- a/library/src/main/java/org/siskinramp/routing/ServiceRouter.java
+++ b/library/src/main/java/org/siskinramp/routing/ServiceRouter.java
@@ -80,16 +80,18 @@
      * @return the refusal, or empty if the request would be sent or would wait
      */
     public Optional<ResultException> refusalOf(Request request) {
+        RequestRun run = new RequestRun(request);
         lock.lock();
         try {
             return dispatcher
-                    .refusalOf(new RequestRun(request))
+                    .admission()
+                    .refusalOf(run)
                     .map(
                             code ->
                                     new ResultException(
                                             code,
                                             "request=" + request.key(),
-                                            dispatcher.retryAfterMilliseconds()));
+                                            dispatcher.admission().retryAfterMilliseconds(run)));
         } finally {
             lock.unlock();
         }
--- a/library/src/main/java/org/siskinramp/routing/ServiceState.java
+++ b/library/src/main/java/org/siskinramp/routing/ServiceState.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 import org.siskinramp.configuration.Configuration;
 import org.siskinramp.configuration.Service;
 import org.siskinramp.health.LatencyWindow;
@@ -26,6 +27,7 @@
     private final SlotTable slots = new SlotTable();
     private final WaitingQueue<RequestRun> queue = new WaitingQueue<>();
     private final LatencyWindow latencies = new LatencyWindow();
+    private final Isolation isolation = new Isolation(this);
     private Service service;
 
     ServiceState(RoutingEnvironment environment, RoutingOptions options, Service service) {
@@ -62,6 +64,18 @@
         return latencies;
     }
 
+    Isolation isolation() {
+        return isolation;
+    }
+
+    boolean mustRunAlone(RequestRun run) {
+        return environment.requestSuspicion().mustRunAlone(run.request().contentHash());
+    }
+
+    boolean isQuarantined(RequestRun run) {
+        return environment.requestSuspicion().isQuarantined(run.request().contentHash());
+    }
+
     long now() {
         return environment.clock().monotonicMilliseconds();
     }
@@ -144,11 +158,20 @@
      * @return the usable slots
      */
     List<Slot> usableSlots(long now) {
-        return slots.startable(now, environment.slotRights().authorityUntilMilliseconds()).stream()
-                .filter(slot -> isUsable(slot, now))
+        return startableSlots(now)
+                .filter(slot -> !isolation.isReserved(slot.key().backendServer(), now))
                 .toList();
     }
 
+    private Stream<Slot> startableSlots(long now) {
+        return slots.startable(now, environment.slotRights().authorityUntilMilliseconds()).stream()
+                .filter(slot -> isUsable(slot, now));
+    }
+
+    boolean hasUsableSlot(long now) {
+        return !options.areSlotsOwned() || startableSlots(now).findAny().isPresent();
+    }
+
     private boolean isUsable(Slot slot, long now) {
         ServerState server = servers.get(slot.key().backendServer());
         return server != null
@@ -165,12 +188,10 @@
      * @return the slot, or empty if the request has to wait
      */
     Optional<Slot> chooseSlot(RequestRun run, long now) {
-        List<Slot> usable = options.areSlotsOwned() ? usableSlots(now) : unownedSlots(now);
-        boolean alone = environment.requestSuspicion().mustRunAlone(run.request().contentHash());
         Map<String, Slot> byServer = new TreeMap<>();
-        for (Slot slot : usable) {
+        for (Slot slot : mustRunAlone(run) ? aloneSlots(now) : ordinarySlots(now)) {
             String server = slot.key().backendServer();
-            if (!run.hasTried(server) && (!alone || isAlone(slot))) {
+            if (!run.hasTried(server)) {
                 byServer.putIfAbsent(server, slot);
             }
         }
@@ -185,11 +206,14 @@
         return Optional.of(byServer.get(candidates.get(chosen).backendServer()));
     }
 
-    private boolean isAlone(Slot slot) {
-        ServerState server = servers.get(slot.key().backendServer());
-        return slot.key().index() == 0
-                && server.warmth().isJudge()
-                && server.warmth().judgedAllowance() == 1;
+    private List<Slot> aloneSlots(long now) {
+        Stream<Slot> all =
+                options.areSlotsOwned() ? startableSlots(now) : unownedSlots(now).stream();
+        return all.filter(slot -> isolation.isAlone(slot, now)).toList();
+    }
+
+    private List<Slot> ordinarySlots(long now) {
+        return options.areSlotsOwned() ? usableSlots(now) : unownedSlots(now);
     }
 
     private List<Slot> unownedSlots(long now) {
--- a/library/src/test/java/org/siskinramp/routing/FakeServers.java
+++ b/library/src/test/java/org/siskinramp/routing/FakeServers.java
@@ -30,6 +30,7 @@
     private final Map<String, Server> servers = new TreeMap<>();
     private final Map<Long, Running> running = new HashMap<>();
     private final Map<String, Integer> runs = new TreeMap<>();
+    private final Map<String, Integer> company = new TreeMap<>();
     private final List<String> overloads = new ArrayList<>();
     private int probes;
 
@@ -55,6 +56,11 @@
         return runs.getOrDefault(request.key().toString(), 0);
     }
 
+    /** Returns the most that any server had in progress while it ran a target, itself included. */
+    public int mostInProgressWith(String target) {
+        return company.getOrDefault(target, 0);
+    }
+
     public int probes() {
         return probes;
     }
@@ -88,6 +94,7 @@
         entry.boot = server.boot;
         server.inProgress++;
         server.lastNewWorkAt = time.monotonicMilliseconds();
+        noteCompany(server);
         runs.merge(entry.attempt.request().key().toString(), 1, Integer::sum);
         int bears = server.cold() ? server.coldSlots : server.slots;
         if (server.inProgress > bears) {
@@ -106,6 +113,14 @@
         time.schedule(work, () -> complete(entry));
     }
 
+    private void noteCompany(Server server) {
+        running.values().stream()
+                .filter(other -> other.server == server && other.boot == server.boot)
+                .filter(other -> !other.left)
+                .map(other -> other.attempt.request().target())
+                .forEach(target -> company.merge(target, server.inProgress, Math::max));
+    }
+
     private void complete(Running entry) {
         if (entry.server == null || entry.boot != entry.server.boot) {
             fail(entry, AttemptFailure.CONNECTION_BROKEN);
--- a/library/src/test/java/org/siskinramp/routing/RoutingCell.java
+++ b/library/src/test/java/org/siskinramp/routing/RoutingCell.java
@@ -13,10 +13,13 @@
 import org.siskinramp.configuration.Place;
 import org.siskinramp.configuration.Service;
 import org.siskinramp.configuration.ServiceState;
+import org.siskinramp.ledger.SuspectRequests;
+import org.siskinramp.ledger.SuspicionOptions;
 import org.siskinramp.peer.AllowanceChange;
 import org.siskinramp.peer.ColdSighting;
 import org.siskinramp.peer.PeerMessage;
 import org.siskinramp.peer.ServerAllowance;
+import org.siskinramp.peer.SuspectRequest;
 import org.siskinramp.request.Request;
 import org.siskinramp.request.RequestKey;
 import org.siskinramp.request.RequestKind;
@@ -38,7 +41,7 @@
     final VirtualTime time = new VirtualTime();
     final FakeServers servers;
     final Map<String, ServiceRouters> hosts = new LinkedHashMap<>();
-    final Set<String> suspects = new HashSet<>();
+    final Map<String, SuspectRequests> suspects = new LinkedHashMap<>();
     final List<String> stops = new ArrayList<>();
     final UniformRandomProvider random;
     Configuration configuration;
@@ -80,6 +83,16 @@
     }
 
     private void addHost(String name, String availabilityZone, RoutingOptions options) {
+        suspects.put(
+                name,
+                new SuspectRequests(
+                        time,
+                        event -> {},
+                        SuspicionOptions.DEFAULT,
+                        word ->
+                                hosts.keySet().stream()
+                                        .filter(host -> !host.equals(name))
+                                        .forEach(host -> deliver(name, host, word))));
         RoutingEnvironment environment =
                 new RoutingEnvironment(
                         name,
@@ -93,7 +106,7 @@
                         random,
                         new Rights(),
                         slot -> {},
-                        new Suspicion());
+                        new Suspicion(suspects.get(name)));
         MessageBudget budget = new MessageBudget(time, options.loanMessagesPerSecond());
         hosts.put(
                 name,
@@ -132,7 +145,15 @@
 
     private void deliver(String from, String to, PeerMessage message) {
         peerMessages++;
-        time.schedule(PEER_DISTANCE_MILLISECONDS, () -> hosts.get(to).receive(from, message));
+        time.schedule(PEER_DISTANCE_MILLISECONDS, () -> receive(from, to, message));
+    }
+
+    private void receive(String from, String to, PeerMessage message) {
+        if (message instanceof SuspectRequest word) {
+            suspects.get(to).receive(from, word);
+        } else {
+            hosts.get(to).receive(from, message);
+        }
     }
 
     private void assignSlots() {
@@ -224,17 +245,34 @@
         }
     }
 
+    /** Records the stops that one host reports. */
     private final class Suspicion implements RequestSuspicion {
 
+        private final SuspectRequests host;
+
+        private Suspicion(SuspectRequests host) {
+            this.host = host;
+        }
+
         @Override
         public boolean mustRunAlone(String contentHash) {
-            return suspects.contains(contentHash);
+            return host.mustRunAlone(contentHash);
+        }
+
+        @Override
+        public boolean isQuarantined(String contentHash) {
+            return host.isQuarantined(contentHash);
         }
 
         @Override
         public void serverStopped(String contentHash, String backendServer) {
-            suspects.add(contentHash);
             stops.add(contentHash);
+            host.serverStopped(contentHash, backendServer);
+        }
+
+        @Override
+        public void ranToEnd(String contentHash) {
+            host.ranToEnd(contentHash);
         }
     }
 }
--- a/library/src/test/java/org/siskinramp/routing/RoutingTest.java
+++ b/library/src/test/java/org/siskinramp/routing/RoutingTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.siskinramp.configuration.ServiceState;
+import org.siskinramp.ledger.SuspectRequests;
 import org.siskinramp.request.RequestKind;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.result.ResultException;
@@ -215,4 +216,75 @@
         cell.time.advance(10_000);
         assertFalse(cell.servers.probes() > 6 * 10 * 4, "probes " + cell.servers.probes());
     }
+
+    @Test
+    void suspectIsRefusedUntilAServerIsIsolatedAndThenRunsAlone() {
+        RoutingCell cell = cell(2, 6, 4);
+        load(cell, 500, 6_000, RoutingCell.READ);
+        cell.suspects.get("entry-1").serverStopped("hash-of-/portal/suspect", "server-9");
+        cell.time.advance(10);
+        RequestRun refused = cell.send("entry-0", RoutingCell.READ, "/portal/suspect", 1_000);
+        assertEquals(ResultCode.DEADLINE_UNREACHABLE, codeOf(refused));
+        assertEquals(2_151, retryAfter(refused));
+        cell.time.schedule(
+                retryAfter(refused),
+                () -> cell.send("entry-0", RoutingCell.READ, "/portal/suspect", 1_000));
+        List<RequestRun> others = load(cell, 500, 3_000, RoutingCell.READ);
+        assertEquals(1, cell.servers.mostInProgressWith("/portal/suspect"));
+        assertFalse(cell.suspects.get("entry-0").mustRunAlone("hash-of-/portal/suspect"));
+        assertEquals(others.size(), answered(others));
+        assertEquals(List.of(), cell.servers.overloads());
+    }
+
+    @Test
+    void withoutSuspicionTheSameRequestRunsBesideOthers() {
+        RoutingCell cell = cell(2, 6, 4);
+        load(cell, 500, 6_000, RoutingCell.READ);
+        for (int at = 0; at < 2_000; at += 100) {
+            cell.time.schedule(
+                    at, () -> cell.send("entry-0", RoutingCell.READ, "/portal/suspect", 1_000));
+        }
+        load(cell, 500, 2_000, RoutingCell.READ);
+        assertTrue(cell.servers.mostInProgressWith("/portal/suspect") > 1);
+    }
+
+    @Test
+    void guiltyRequestIsQuarantinedAndBystandersAreNot() {
+        RoutingCell cell = cell(2, 6, 4);
+        load(cell, 500, 6_000, RoutingCell.READ);
+        for (int index = 1; index <= 6; index++) {
+            cell.servers.server("server-" + index).crashesOn("/portal/crash");
+        }
+        cell.time.schedule(
+                500, () -> cell.send("entry-0", RoutingCell.ORDER, "/portal/crash", 1_000));
+        load(cell, 500, 1_000, RoutingCell.READ);
+        assertTrue(cell.stops.size() > 1, "bystanders: " + cell.stops);
+        for (int at = 0; at < 20_000; at += 250) {
+            cell.time.schedule(at, () -> resend(cell));
+        }
+        load(cell, 300, 20_000, RoutingCell.READ);
+        for (SuspectRequests suspects : cell.suspects.values()) {
+            assertTrue(suspects.isQuarantined("hash-of-/portal/crash"));
+            cell.stops.stream()
+                    .filter(hash -> !hash.equals("hash-of-/portal/crash"))
+                    .forEach(hash -> assertFalse(suspects.isQuarantined(hash), hash));
+        }
+        assertEquals(2, cell.stops.stream().filter("hash-of-/portal/crash"::equals).count());
+    }
+
+    /** Sends the guilty request and its first bystander again, as an entry host would. */
+    private static void resend(RoutingCell cell) {
+        for (String hash : List.copyOf(cell.stops)) {
+            if (!cell.suspects.get("entry-1").isQuarantined(hash)) {
+                String target = hash.substring("hash-of-".length());
+                cell.send("entry-1", RoutingCell.ORDER, target, 1_000);
+            }
+        }
+    }
+
+    private static long retryAfter(RequestRun run) {
+        return ResultException.from(run.answer().handle((answer, failure) -> failure).join())
+                .retryAfterMilliseconds()
+                .orElse(0);
+    }
 }
