--- a/library/src/main/java/org/siskinramp/host/EntryHost.java
+++ b/library/src/main/java/org/siskinramp/host/EntryHost.java
@@ -1,15 +1,11 @@
 package org.siskinramp.host;
 
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.siskinramp.configuration.Configuration;
-import org.siskinramp.ledger.Claim;
+import org.siskinramp.journal.Journal;
+import org.siskinramp.journal.RequestInquiry;
 import org.siskinramp.ledger.ClaimLedger;
-import org.siskinramp.ledger.ClaimResult;
 import org.siskinramp.ledger.SuspectRequests;
-import org.siskinramp.log.Counter;
-import org.siskinramp.log.Counters;
 import org.siskinramp.log.EventLog;
 import org.siskinramp.log.LogEvent;
 import org.siskinramp.membership.Membership;
@@ -21,11 +17,7 @@
 import org.siskinramp.peer.SuspectRequest;
 import org.siskinramp.request.Answer;
 import org.siskinramp.request.Request;
-import org.siskinramp.result.Futures;
-import org.siskinramp.result.ResultCode;
 import org.siskinramp.result.ResultException;
-import org.siskinramp.routing.RequestRun;
-import org.siskinramp.routing.ServiceRouter;
 import org.siskinramp.routing.ServiceRouters;
 import org.siskinramp.slot.SlotHoldings;
 import org.siskinramp.ticket.ConfigurationFollower;
@@ -48,12 +40,9 @@
  */
 public final class EntryHost {
 
-    private static final long RETRY_AFTER_STOPPING_MILLISECONDS = 1_000;
-
     private final HostIdentity identity;
     private final Scheduler scheduler;
     private final EventLog eventLog;
-    private final Counters counters;
     private final long tickIntervalMilliseconds;
     private final ServiceRouters routers;
     private final WarmthWords words;
@@ -62,10 +51,11 @@
     private final Tickets tickets;
     private final ConfigurationFollower configurationFollower;
     private final ClaimLedger ledger;
+    private final Journal journal;
+    private final RequestInquiry inquiry;
+    private final RequestDesk desk;
     private final SuspectRequests suspects;
-    private final AtomicInteger requestsInProgress = new AtomicInteger();
     private volatile boolean draining;
-    private volatile boolean refusing;
     private volatile boolean stopped;
 
     EntryHost(EntryHostBuilder builder) {
@@ -73,7 +63,6 @@
         identity = builder.identity();
         scheduler = builder.scheduler();
         eventLog = builder.eventLog();
-        counters = builder.counters();
         tickIntervalMilliseconds = builder.options().tickIntervalMilliseconds();
         routers = parts.routers();
         words = parts.words();
@@ -83,6 +72,9 @@
         configurationFollower = parts.configurationFollower();
         ledger = parts.ledger();
         suspects = parts.suspects();
+        journal = parts.journal();
+        inquiry = parts.inquiry();
+        desk = new RequestDesk(parts, builder);
     }
 
     /**
@@ -98,6 +90,7 @@
     public void start() {
         eventLog.record(
                 LogEvent.named("entry_host_start").with("incarnation", identity.incarnation()));
+        journal.start();
         membership.start();
         viewFollower.start();
         configurationFollower.start();
@@ -129,92 +122,7 @@
      *     request certainly did not run
      */
     public CompletableFuture<Answer> handle(Request request) {
-        counters.add(Counter.REQUESTS);
-        if (refusing) {
-            counters.add(Counter.REQUESTS_REFUSED);
-            return CompletableFuture.failedFuture(
-                    new ResultException(
-                            ResultCode.STOPPING,
-                            "request=" + request.key(),
-                            RETRY_AFTER_STOPPING_MILLISECONDS));
-        }
-        requestsInProgress.incrementAndGet();
-        CompletableFuture<Answer> answer = route(request);
-        Futures.whenDone(answer, (result, failure) -> finished(failure));
-        return answer;
-    }
-
-    private CompletableFuture<Answer> route(Request request) {
-        ServiceRouter router = routers.of(request.service()).orElse(null);
-        if (router == null) {
-            return CompletableFuture.failedFuture(
-                    new ResultException(
-                            ResultCode.SERVICE_UNKNOWN, "service=" + request.service()));
-        }
-        return request.kind().idempotent()
-                ? router.run(request).answer()
-                : runAtMostOnce(request, router);
-    }
-
-    private CompletableFuture<Answer> runAtMostOnce(Request request, ServiceRouter router) {
-        return refusalBeforeClaim(request, router)
-                .map(CompletableFuture::<Answer>failedFuture)
-                .orElseGet(
-                        () ->
-                                ledger.claim(request)
-                                        .thenCompose(
-                                                result -> runClaimed(request, router, result)));
-    }
-
-    /** Leaves a suspect to its claim, since an earlier copy of it may well have run. */
-    private Optional<ResultException> refusalBeforeClaim(Request request, ServiceRouter router) {
-        return suspects.mustRunAlone(request.contentHash())
-                ? Optional.empty()
-                : router.refusalOf(request);
-    }
-
-    private CompletableFuture<Answer> runClaimed(
-            Request request, ServiceRouter router, ClaimResult result) {
-        if (result instanceof ClaimResult.Kept kept) {
-            counters.add(Counter.REQUESTS_REPLAYED);
-            return CompletableFuture.completedFuture(kept.answer());
-        }
-        Claim claim = ((ClaimResult.Granted) result).claim();
-        RequestRun run = router.run(request);
-        Futures.whenDone(run.answer(), (answer, failure) -> settle(claim, answer, failure));
-        return run.answer();
-    }
-
-    private void settle(Claim claim, Answer answer, Throwable failure) {
-        Futures.whenDone(settlement(claim, answer, failure), (done, cause) -> logUnsettled(cause));
-    }
-
-    private CompletableFuture<Void> settlement(Claim claim, Answer answer, Throwable failure) {
-        if (failure == null) {
-            return ledger.recordOutcome(claim, answer);
-        }
-        return ResultException.from(failure).code().isNotRun()
-                ? ledger.release(claim)
-                : ledger.abandon(claim);
-    }
-
-    private void logUnsettled(Throwable failure) {
-        if (failure != null) {
-            eventLog.record(
-                    LogEvent.named("claim_unsettled")
-                            .with("code", ResultException.from(failure).code().number()));
-        }
-    }
-
-    private void finished(Throwable failure) {
-        requestsInProgress.decrementAndGet();
-        if (failure == null) {
-            counters.add(Counter.REQUESTS_ANSWERED);
-        } else if (ResultException.from(failure).code().isNotRun()) {
-            counters.add(Counter.REQUESTS_REFUSED);
-        } else {
-            counters.add(Counter.REQUESTS_FAILED);
-        }
+        return desk.handle(request);
     }
 
     /**
@@ -257,10 +165,10 @@
     /** Refuses new requests as not run, while those in progress end. */
     public void refuseNewRequests() {
         draining = true;
-        refusing = true;
+        desk.refuseNewRequests();
         eventLog.record(
                 LogEvent.named("entry_host_refuses")
-                        .with("requests_in_progress", requestsInProgress.get()));
+                        .with("requests_in_progress", desk.inProgress()));
     }
 
     /** Hands all slots over to the other entry hosts and stops following the platform. */
@@ -269,6 +177,7 @@
         viewFollower.stop();
         configurationFollower.stop();
         membership.stop();
+        journal.close();
         scheduler.schedule(tickIntervalMilliseconds, () -> stopped = true);
         eventLog.record(LogEvent.named("entry_host_stop"));
     }
@@ -302,7 +211,7 @@
      * @return the requests in progress or waiting
      */
     public int requestsInProgress() {
-        return requestsInProgress.get();
+        return desk.inProgress();
     }
 
     /**
@@ -314,6 +223,25 @@
         return ledger.unsettled();
     }
 
+    /**
+     * Returns the end of the journal, which begins with {@link #stop}.
+     *
+     * @return completes once all entries and the marker of this host's end are durable; while the
+     *     object store is down it does not
+     */
+    public CompletableFuture<Void> journalClosed() {
+        return journal.closed();
+    }
+
+    /**
+     * Returns the inquiry into what became of requests.
+     *
+     * @return the inquiry
+     */
+    public RequestInquiry inquiry() {
+        return inquiry;
+    }
+
     /**
      * Returns the configuration that this host acts on.
      *
--- a/library/src/main/java/org/siskinramp/host/EntryHostParts.java
+++ b/library/src/main/java/org/siskinramp/host/EntryHostParts.java
@@ -3,6 +3,10 @@
 import java.util.function.Consumer;
 import org.siskinramp.configuration.Configuration;
 import org.siskinramp.configuration.Service;
+import org.siskinramp.journal.InquiryOptions;
+import org.siskinramp.journal.Journal;
+import org.siskinramp.journal.JournalOptions;
+import org.siskinramp.journal.RequestInquiry;
 import org.siskinramp.ledger.ClaimLedger;
 import org.siskinramp.ledger.SuspectRequests;
 import org.siskinramp.ledger.SuspicionOptions;
@@ -33,6 +37,7 @@
     private final ConfigurationFollower configurationFollower;
     private final ClaimLedger ledger;
     private final SuspectRequests suspects;
+    private final Journal journal;
     private final MessageBudget loanMessages;
 
     EntryHostParts(EntryHostBuilder builder, Consumer<Configuration> configurationListener) {
@@ -67,6 +72,16 @@
                         FollowerOptions.DEFAULT,
                         configurationListener);
         ledger = newLedger();
+        journal =
+                new Journal(
+                        builder.identity().name(),
+                        builder.identity().incarnation(),
+                        builder.platform(),
+                        builder.clock(),
+                        builder.scheduler(),
+                        builder.eventLog(),
+                        builder.counters(),
+                        JournalOptions.DEFAULT);
     }
 
     private Membership newMembership() {
@@ -154,6 +169,15 @@
         return ledger;
     }
 
+    Journal journal() {
+        return journal;
+    }
+
+    RequestInquiry inquiry() {
+        return new RequestInquiry(
+                platform, builder.clock(), JournalOptions.DEFAULT, InquiryOptions.DEFAULT);
+    }
+
     SuspectRequests suspects() {
         return suspects;
     }
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/host/RequestDesk.java
@@ -0,0 +1,154 @@
+package org.siskinramp.host;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.siskinramp.journal.Journal;
+import org.siskinramp.ledger.Claim;
+import org.siskinramp.ledger.ClaimLedger;
+import org.siskinramp.ledger.ClaimResult;
+import org.siskinramp.ledger.SuspectRequests;
+import org.siskinramp.log.Counter;
+import org.siskinramp.log.Counters;
+import org.siskinramp.log.EventLog;
+import org.siskinramp.log.LogEvent;
+import org.siskinramp.request.Answer;
+import org.siskinramp.request.Request;
+import org.siskinramp.result.Futures;
+import org.siskinramp.result.ResultCode;
+import org.siskinramp.result.ResultException;
+import org.siskinramp.routing.RequestRun;
+import org.siskinramp.routing.ServiceRouter;
+import org.siskinramp.routing.ServiceRouters;
+import org.siskinramp.time.Clock;
+
+/** Runs requests, non-idempotent ones under a claim, and records in the journal how each ended. */
+final class RequestDesk {
+
+    private static final long RETRY_AFTER_STOPPING_MILLISECONDS = 1_000;
+
+    private final ServiceRouters routers;
+    private final ClaimLedger ledger;
+    private final SuspectRequests suspects;
+    private final Journal journal;
+    private final Clock clock;
+    private final EventLog eventLog;
+    private final Counters counters;
+    private final AtomicInteger inProgress = new AtomicInteger();
+    private volatile boolean refusing;
+
+    RequestDesk(EntryHostParts parts, EntryHostBuilder builder) {
+        routers = parts.routers();
+        ledger = parts.ledger();
+        suspects = parts.suspects();
+        journal = parts.journal();
+        clock = builder.clock();
+        eventLog = builder.eventLog();
+        counters = builder.counters();
+    }
+
+    void refuseNewRequests() {
+        refusing = true;
+    }
+
+    int inProgress() {
+        return inProgress.get();
+    }
+
+    CompletableFuture<Answer> handle(Request request) {
+        counters.add(Counter.REQUESTS);
+        inProgress.incrementAndGet();
+        RequestTrace trace = new RequestTrace(request);
+        CompletableFuture<Answer> answer = refusing ? refuseStopping(request) : route(trace);
+        Futures.whenDone(answer, (result, failure) -> finished(trace, result, failure));
+        return answer;
+    }
+
+    private static CompletableFuture<Answer> refuseStopping(Request request) {
+        return CompletableFuture.failedFuture(
+                new ResultException(
+                        ResultCode.STOPPING,
+                        "request=" + request.key(),
+                        RETRY_AFTER_STOPPING_MILLISECONDS));
+    }
+
+    private CompletableFuture<Answer> route(RequestTrace trace) {
+        Request request = trace.request();
+        ServiceRouter router = routers.of(request.service()).orElse(null);
+        if (router == null) {
+            return CompletableFuture.failedFuture(
+                    new ResultException(
+                            ResultCode.SERVICE_UNKNOWN, "service=" + request.service()));
+        }
+        return request.kind().idempotent() ? run(trace, router) : runAtMostOnce(trace, router);
+    }
+
+    private static CompletableFuture<Answer> run(RequestTrace trace, ServiceRouter router) {
+        RequestRun run = router.run(trace.request());
+        trace.setRun(run);
+        return run.answer();
+    }
+
+    private CompletableFuture<Answer> runAtMostOnce(RequestTrace trace, ServiceRouter router) {
+        return refusalBeforeClaim(trace.request(), router)
+                .map(CompletableFuture::<Answer>failedFuture)
+                .orElseGet(
+                        () ->
+                                ledger.claim(trace.request())
+                                        .thenCompose(result -> runClaimed(trace, router, result)));
+    }
+
+    /** Leaves a suspect to its claim, since an earlier copy of it may well have run. */
+    private Optional<ResultException> refusalBeforeClaim(Request request, ServiceRouter router) {
+        return suspects.mustRunAlone(request.contentHash())
+                ? Optional.empty()
+                : router.refusalOf(request);
+    }
+
+    private CompletableFuture<Answer> runClaimed(
+            RequestTrace trace, ServiceRouter router, ClaimResult result) {
+        if (result instanceof ClaimResult.Kept kept) {
+            counters.add(Counter.REQUESTS_REPLAYED);
+            return CompletableFuture.completedFuture(kept.answer());
+        }
+        Claim claim = ((ClaimResult.Granted) result).claim();
+        trace.setClaim(claim);
+        CompletableFuture<Answer> answer = run(trace, router);
+        Futures.whenDone(answer, (whole, failure) -> settle(claim, whole, failure));
+        return answer;
+    }
+
+    private void settle(Claim claim, Answer answer, Throwable failure) {
+        Futures.whenDone(settlement(claim, answer, failure), (done, cause) -> logUnsettled(cause));
+    }
+
+    private CompletableFuture<Void> settlement(Claim claim, Answer answer, Throwable failure) {
+        if (failure == null) {
+            return ledger.recordOutcome(claim, answer);
+        }
+        return ResultException.from(failure).code().isNotRun()
+                ? ledger.release(claim)
+                : ledger.abandon(claim);
+    }
+
+    private void logUnsettled(Throwable failure) {
+        if (failure != null) {
+            eventLog.record(
+                    LogEvent.named("claim_unsettled")
+                            .with("code", ResultException.from(failure).code().number()));
+        }
+    }
+
+    private void finished(RequestTrace trace, Answer answer, Throwable failure) {
+        ResultCode code = failure == null ? answer.code() : ResultException.from(failure).code();
+        journal.record(trace.entry(code, clock));
+        inProgress.decrementAndGet();
+        if (failure == null) {
+            counters.add(Counter.REQUESTS_ANSWERED);
+        } else if (code.isNotRun()) {
+            counters.add(Counter.REQUESTS_REFUSED);
+        } else {
+            counters.add(Counter.REQUESTS_FAILED);
+        }
+    }
+}
--- a/library/src/main/java/org/siskinramp/ledger/package-info.java
+++ b/library/src/main/java/org/siskinramp/ledger/package-info.java
@@ -10,7 +10,8 @@
  * a deleted row starts again at version 1.
  *
  * <p>Locks: {@link org.siskinramp.ledger.ClaimTable}, {@code ClaimQueue}, {@code Settlements},
- * {@code Circuit} and {@code WriteBudget} have one lock each. No lock is taken while another is
- * held, and no future is completed, no call to the platform made under one.
+ * {@code Circuit}, {@code WriteBudget} and {@link org.siskinramp.ledger.SuspectRequests} have one
+ * lock each. No lock is taken while another is held, and no future is completed, no call to the
+ * platform made under one.
  */
 package org.siskinramp.ledger;
--- a/library/src/main/java/org/siskinramp/log/Counter.java
+++ b/library/src/main/java/org/siskinramp/log/Counter.java
@@ -45,7 +45,9 @@
     /** Backend servers ejected. */
     EJECTIONS,
     /** Connections closed because they had gone silent. */
-    SILENT_CONNECTIONS;
+    SILENT_CONNECTIONS,
+    /** Journal entries dropped while the object store was down. */
+    JOURNAL_DROPS;
 
     /**
      * Returns the name used in metrics.
