Push committed changes between hosts, and blame requests in any order of news

(2) The news of a server's new start can come before the broken connection of a request that ran on it, or in the judge's word; neither was matched with the request. Change: the host that commits a change sends it to its peers; a host that hears of a newer version asks that peer for what it lacks; changes apply only in sequence. EntryHost follows a configuration only if it is newer than the one followed last. An attempt remembers the start that it was sent to.

--- a/daemon/src/main/java/org/siskinramp/daemon/peer/MessageTypes.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/peer/MessageTypes.java
@@ -6,7 +6,9 @@
 import org.siskinramp.peer.AllowanceAsk;
 import org.siskinramp.peer.AllowanceChange;
 import org.siskinramp.peer.ColdSighting;
+import org.siskinramp.peer.ConfigurationAsk;
 import org.siskinramp.peer.ConfigurationNotice;
+import org.siskinramp.peer.ConfigurationPush;
 import org.siskinramp.peer.Heartbeat;
 import org.siskinramp.peer.LoanAsk;
 import org.siskinramp.peer.LoanGrant;
@@ -30,6 +32,8 @@
                     Map.entry(ConfigurationNotice.class, 8),
                     Map.entry(SuspectRequest.class, 9),
                     Map.entry(AllowanceAsk.class, 10),
+                    Map.entry(ConfigurationPush.class, 11),
+                    Map.entry(ConfigurationAsk.class, 12),
                     Map.entry(Hello.class, 100),
                     Map.entry(Receipt.class, 101));
 
--- a/library/src/main/java/org/siskinramp/host/EntryHost.java
+++ b/library/src/main/java/org/siskinramp/host/EntryHost.java
@@ -11,9 +11,12 @@
 import org.siskinramp.log.LogEvent;
 import org.siskinramp.membership.Membership;
 import org.siskinramp.membership.ViewFollower;
+import org.siskinramp.peer.ConfigurationAsk;
 import org.siskinramp.peer.ConfigurationNotice;
+import org.siskinramp.peer.ConfigurationPush;
 import org.siskinramp.peer.Heartbeat;
 import org.siskinramp.peer.PeerMessage;
+import org.siskinramp.peer.PeerSender;
 import org.siskinramp.peer.SlotRelease;
 import org.siskinramp.peer.SuspectRequest;
 import org.siskinramp.request.Answer;
@@ -52,11 +55,13 @@
     private final ViewFollower viewFollower;
     private final Tickets tickets;
     private final ConfigurationFollower configurationFollower;
+    private final PeerSender peerSender;
     private final ClaimLedger ledger;
     private final Journal journal;
     private final RequestInquiry inquiry;
     private final RequestDesk desk;
     private final SuspectRequests suspects;
+    private long followedVersion;
     private volatile boolean draining;
     private volatile boolean stopped;
 
@@ -72,6 +77,8 @@
         viewFollower = parts.viewFollower();
         tickets = parts.tickets();
         configurationFollower = parts.configurationFollower();
+        peerSender = builder.peerSender();
+        tickets.onCommitted(this::committed);
         ledger = parts.ledger();
         suspects = parts.suspects();
         journal = parts.journal();
@@ -110,7 +117,12 @@
         }
     }
 
-    private void applyConfiguration(Configuration configuration) {
+    /** Follows a configuration, unless a newer one was followed before. */
+    private synchronized void applyConfiguration(Configuration configuration) {
+        if (configuration.version() <= followedVersion) {
+            return;
+        }
+        followedVersion = configuration.version();
         words.apply(configuration);
         routers.apply(configuration);
         membership.applyConfiguration(configuration);
@@ -137,17 +149,36 @@
         if (message instanceof Heartbeat heartbeat) {
             membership.receive(host, heartbeat);
             words.receive(host, heartbeat);
+            askForChanges(host, heartbeat.configurationVersion());
         } else if (message instanceof SlotRelease release) {
             membership.receive(host, release);
         } else if (message instanceof SuspectRequest suspect) {
             suspects.receive(host, suspect);
         } else if (message instanceof ConfigurationNotice notice) {
             configurationFollower.notice(notice.version());
+        } else if (message instanceof ConfigurationPush change) {
+            configurationFollower.push(change);
+        } else if (message instanceof ConfigurationAsk ask) {
+            configurationFollower
+                    .changesAfter(ask.version())
+                    .forEach(change -> peerSender.send(host, change));
         } else {
             routers.receive(host, message);
         }
     }
 
+    private void askForChanges(String host, long theirVersion) {
+        long version = configurationFollower.current().version();
+        if (theirVersion > version && version > 0) {
+            peerSender.send(host, new ConfigurationAsk(version));
+        }
+    }
+
+    private void committed(ConfigurationPush change) {
+        configurationFollower.push(change);
+        words.announce(change);
+    }
+
     /**
      * Tells the other entry hosts, and this one, that a ticket made a newer configuration.
      *
--- a/library/src/main/java/org/siskinramp/routing/Dispatcher.java
+++ b/library/src/main/java/org/siskinramp/routing/Dispatcher.java
@@ -287,19 +287,20 @@
         if (attempt == null) {
             return;
         }
-        attempt.slot.end();
-        attempt.server.endRequest();
+        attempt.slot().end();
+        attempt.server().endRequest();
         boolean failed = result.answer().status() >= SERVER_ERROR_STATUS;
         if (!failed) {
-            attempt.slot.countAnswer();
+            attempt.slot().countAnswer();
         }
-        observer.answered(attempt.server, result, failed, state.now() - attempt.startedAt, effects);
-        RequestRun run = attempt.run;
+        observer.answered(
+                attempt.server(), result, failed, state.now() - attempt.startedAt(), effects);
+        RequestRun run = attempt.run();
         String contentHash = run.request().contentHash();
         effects.add(() -> state.environment().requestSuspicion().ranToEnd(contentHash));
         run.finish(
                 attemptNumber,
-                new AttemptRecord(attempt.server.backendServer().name(), "answered", true));
+                new AttemptRecord(attempt.server().backendServer().name(), "answered", true));
         if (run.isEnded()) {
             return;
         }
@@ -322,18 +323,18 @@
             return;
         }
         long now = state.now();
-        RequestRun run = attempt.run;
-        attempt.server.endRequest();
+        RequestRun run = attempt.run();
+        attempt.server().endRequest();
         if (failure.failure().isNotRun()) {
-            attempt.slot.end();
+            attempt.slot().end();
         } else {
-            attempt.slot.linger(now + state.options().lingerMilliseconds());
+            attempt.slot().linger(now + state.options().lingerMilliseconds());
         }
-        observer.failed(attempt.server, run.request(), failure, now - attempt.startedAt, effects);
+        observer.failed(attempt, failure, effects);
         run.finish(
                 attemptNumber,
                 new AttemptRecord(
-                        attempt.server.backendServer().name(),
+                        attempt.server().backendServer().name(),
                         failure.failure().name().toLowerCase(Locale.ROOT),
                         !failure.failure().isNotRun()));
         if (run.isEnded() || !run.attemptsInProgress().isEmpty()) {
@@ -364,18 +365,4 @@
         }
         return true;
     }
-
-    private static final class OpenAttempt {
-        private final RequestRun run;
-        private final Slot slot;
-        private final ServerState server;
-        private final long startedAt;
-
-        private OpenAttempt(RequestRun run, Slot slot, ServerState server, long startedAt) {
-            this.run = run;
-            this.slot = slot;
-            this.server = server;
-            this.startedAt = startedAt;
-        }
-    }
 }
--- a/library/src/main/java/org/siskinramp/routing/ServerObserver.java
+++ b/library/src/main/java/org/siskinramp/routing/ServerObserver.java
@@ -11,7 +11,6 @@
 import org.siskinramp.log.Counter;
 import org.siskinramp.log.LogEvent;
 import org.siskinramp.peer.ServerAllowance;
-import org.siskinramp.request.Request;
 import org.siskinramp.slot.SlotKey;
 
 /**
@@ -82,13 +81,9 @@
         }
     }
 
-    void failed(
-            ServerState server,
-            Request request,
-            AttemptException failure,
-            long lastedMilliseconds,
-            Effects effects) {
+    void failed(OpenAttempt attempt, AttemptException failure, Effects effects) {
         long now = state.now();
+        ServerState server = attempt.server();
         noteBootIdentity(server, failure.loadReport().bootIdentity(), effects);
         AttemptFailure reason = failure.failure();
         switch (reason) {
@@ -105,12 +100,15 @@
                 blameBroken(server, effects);
             }
             case CONNECTION_BROKEN -> {
-                server.rememberBroken(request.contentHash(), now);
+                server.rememberBroken(attempt.run().request().contentHash(), now);
+                if (attempt.outlivedServer()) {
+                    blameBroken(server, effects);
+                }
                 recordFailure(server, now);
                 startCold(server, "broken", effects);
             }
             case TIMED_OUT -> {
-                server.health().recordSlow(lastedMilliseconds);
+                server.health().recordSlow(now - attempt.startedAt());
                 recordFailure(server, now);
             }
             case CONNECTION_TIMED_OUT, ANSWER_INCOMPLETE, ANSWER_CROSSED, ANSWER_TOO_LARGE ->
@@ -307,12 +305,15 @@
      * @param explicit the servers that the word names
      * @param implicit the servers that the word leaves out as warm
      * @param given a time, in monotonic milliseconds of this host, that the word is not older than
+     * @param effects what happens outside the lock
      */
-    void hearWords(List<ServerAllowance> explicit, List<String> implicit, long given) {
+    void hearWords(
+            List<ServerAllowance> explicit, List<String> implicit, long given, Effects effects) {
         for (ServerAllowance word : explicit) {
             ServerState server = state.servers().get(word.backendServer());
-            if (server != null) {
-                server.warmth().hearWord(word.allowance(), word.bootIdentity(), given);
+            if (server != null
+                    && server.warmth().hearWord(word.allowance(), word.bootIdentity(), given)) {
+                blameBroken(server, effects);
             }
         }
         for (String name : implicit) {
--- a/library/src/main/java/org/siskinramp/routing/ServiceRouter.java
+++ b/library/src/main/java/org/siskinramp/routing/ServiceRouter.java
@@ -214,7 +214,7 @@
     public void hearWords(List<ServerAllowance> explicit, List<String> implicit, long given) {
         locked(
                 effects -> {
-                    observer.hearWords(explicit, implicit, given);
+                    observer.hearWords(explicit, implicit, given, effects);
                     settle(effects);
                 });
     }
--- a/library/src/main/java/org/siskinramp/ticket/ChangeRun.java
+++ b/library/src/main/java/org/siskinramp/ticket/ChangeRun.java
@@ -1,8 +1,11 @@
 package org.siskinramp.ticket;
 
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.LongUnaryOperator;
 import org.siskinramp.platform.Platform;
+import org.siskinramp.platform.Write;
 import org.siskinramp.result.Futures;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.result.ResultException;
@@ -26,6 +29,7 @@
     private final LongUnaryOperator jitter;
     private final long ticketNumber;
     private final Change<T> change;
+    private final Consumer<List<Write>> committed;
     private final CompletableFuture<T> result = new CompletableFuture<>();
     private int attempts;
     private boolean doubtful;
@@ -36,13 +40,15 @@
             Scheduler scheduler,
             LongUnaryOperator jitter,
             long ticketNumber,
-            Change<T> change) {
+            Change<T> change,
+            Consumer<List<Write>> committed) {
         this.store = store;
         this.platform = platform;
         this.scheduler = scheduler;
         this.jitter = jitter;
         this.ticketNumber = ticketNumber;
         this.change = change;
+        this.committed = committed;
     }
 
     CompletableFuture<T> start() {
@@ -69,7 +75,13 @@
         if (plan.writes().isEmpty()) {
             return CompletableFuture.completedFuture(plan.receipt());
         }
-        return platform.commit(plan.writes().get()).thenApply(nothing -> plan.receipt());
+        List<Write> writes = plan.writes().get();
+        return platform.commit(writes)
+                .thenApply(
+                        nothing -> {
+                            committed.accept(writes);
+                            return plan.receipt();
+                        });
     }
 
     private void failed(ResultException failure) {
--- a/library/src/main/java/org/siskinramp/ticket/ConfigurationFollower.java
+++ b/library/src/main/java/org/siskinramp/ticket/ConfigurationFollower.java
@@ -1,5 +1,6 @@
 package org.siskinramp.ticket;
 
+import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -7,6 +8,9 @@
 import org.siskinramp.configuration.Configuration;
 import org.siskinramp.log.EventLog;
 import org.siskinramp.log.LogEvent;
+import org.siskinramp.peer.ConfigurationPush;
+import org.siskinramp.platform.Row;
+import org.siskinramp.platform.RowKey;
 import org.siskinramp.result.Futures;
 import org.siskinramp.result.ResultException;
 import org.siskinramp.time.Scheduler;
@@ -25,6 +29,7 @@
     private final EventLog eventLog;
     private final FollowerOptions options;
     private final Consumer<Configuration> listener;
+    private final RecentChanges recentChanges = new RecentChanges();
     private Configuration current = Configuration.empty();
     private long noticedVersion;
     private long delayMilliseconds;
@@ -88,6 +93,52 @@
         }
     }
 
+    /**
+     * Takes a committed change in that this or another host tells of. It is applied if it follows
+     * the present version, and kept for hosts that ask.
+     *
+     * @param change the change
+     */
+    public void push(ConfigurationPush change) {
+        boolean applied = false;
+        while (applyNext(change)) {
+            applied = true;
+        }
+        if (applied) {
+            tell(current());
+        }
+    }
+
+    private synchronized boolean applyNext(ConfigurationPush change) {
+        recentChanges.add(change);
+        List<ConfigurationPush> following = recentChanges.after(current.version());
+        if (following.isEmpty() || stopped || current.version() == 0) {
+            return false;
+        }
+        ConfigurationPush next = following.get(0);
+        List<Row> rows =
+                next.objects().stream()
+                        .map(
+                                object ->
+                                        new Row(
+                                                new RowKey(TicketRows.OBJECTS, object.key()),
+                                                next.version(),
+                                                object.value()))
+                        .toList();
+        current = Snapshot.put(rows, current.toBuilder(next.version()));
+        return true;
+    }
+
+    /**
+     * Lists the changes that this host was told of behind a version.
+     *
+     * @param version the version
+     * @return the changes without a gap, empty if the next one is not known
+     */
+    public synchronized List<ConfigurationPush> changesAfter(long version) {
+        return recentChanges.after(version);
+    }
+
     private synchronized boolean isNews(long version) {
         noticedVersion = Math.max(noticedVersion, version);
         return version > current.version();
@@ -144,15 +195,18 @@
 
     private void apply(Configuration configuration) {
         if (replaceCurrent(configuration)) {
-            eventLog.record(
-                    LogEvent.named("configuration").with("version", configuration.version()));
-            listener.accept(configuration);
+            tell(configuration);
         }
         if (endReading(options.pollMilliseconds())) {
             read();
         }
     }
 
+    private void tell(Configuration configuration) {
+        eventLog.record(LogEvent.named("configuration").with("version", configuration.version()));
+        listener.accept(configuration);
+    }
+
     private synchronized boolean replaceCurrent(Configuration configuration) {
         if (configuration.version() <= current.version()) {
             return false;
--- a/library/src/main/java/org/siskinramp/ticket/Snapshot.java
+++ b/library/src/main/java/org/siskinramp/ticket/Snapshot.java
@@ -41,6 +41,17 @@
     }
 
     private Configuration configuration(List<Row> rows) {
+        return put(rows, Configuration.empty().toBuilder(version()));
+    }
+
+    /**
+     * Puts object rows into a new configuration.
+     *
+     * @param rows the rows
+     * @param builder the builder of the new configuration
+     * @return the configuration
+     */
+    static Configuration put(List<Row> rows, Configuration.Builder builder) {
         ObjectNode all = MAPPER.createObjectNode().put("number", 1);
         LISTS.values().forEach(all::putArray);
         for (Row row : rows) {
@@ -48,8 +59,7 @@
             String list = LISTS.get(key.substring(0, key.indexOf('/')));
             all.withArray(list).add(TicketRows.read(row).path("content"));
         }
-        return TicketChecks.put(
-                TicketParser.parseStored(all), Configuration.empty().toBuilder(version()));
+        return TicketChecks.put(TicketParser.parseStored(all), builder);
     }
 
     Configuration configuration() {
--- a/library/src/main/java/org/siskinramp/ticket/Tickets.java
+++ b/library/src/main/java/org/siskinramp/ticket/Tickets.java
@@ -7,11 +7,13 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.siskinramp.configuration.BackendServer;
 import org.siskinramp.configuration.Configuration;
 import org.siskinramp.configuration.Place;
 import org.siskinramp.configuration.ServiceState;
+import org.siskinramp.peer.ConfigurationPush;
 import org.siskinramp.platform.Platform;
 import org.siskinramp.platform.RowKey;
 import org.siskinramp.platform.Write;
@@ -34,6 +36,7 @@
     private final Scheduler scheduler;
     private final UniformRandomProvider random;
     private final ConfigurationStore store;
+    private volatile Consumer<ConfigurationPush> committedListener = change -> {};
 
     /**
      * Reaches the tickets of a platform.
@@ -71,10 +74,40 @@
     }
 
     private <T> CompletableFuture<T> run(long ticketNumber, Change<T> change) {
-        return new ChangeRun<>(store, platform, scheduler, this::spread, ticketNumber, change)
+        return new ChangeRun<>(
+                        store,
+                        platform,
+                        scheduler,
+                        this::spread,
+                        ticketNumber,
+                        change,
+                        this::announce)
                 .start();
     }
 
+    /**
+     * Sets what is told of each change that this host has committed.
+     *
+     * @param newListener receives the change
+     */
+    public void onCommitted(Consumer<ConfigurationPush> newListener) {
+        committedListener = newListener;
+    }
+
+    private void announce(List<Write> writes) {
+        long version = 0;
+        List<ConfigurationPush.PushedObject> objects = new ArrayList<>();
+        for (Write write : writes) {
+            String value = write.value().orElse("");
+            if (write.key().equals(TicketRows.VERSION)) {
+                version = Long.parseLong(value);
+            } else if (write.key().table().equals(TicketRows.OBJECTS)) {
+                objects.add(new ConfigurationPush.PushedObject(write.key().key(), value));
+            }
+        }
+        committedListener.accept(new ConfigurationPush(version, objects));
+    }
+
     private long spread(long milliseconds) {
         synchronized (random) {
             return random.nextLong(milliseconds) + 1;
--- a/library/src/main/java/org/siskinramp/warmth/ServerWarmth.java
+++ b/library/src/main/java/org/siskinramp/warmth/ServerWarmth.java
@@ -183,17 +183,20 @@
      * @param judgedAllowance the number of usable slots
      * @param judgedBoot the start of the server that the word is about
      * @param given a time, in monotonic milliseconds of this host, that the word is not older than
+     * @return true if the word is about another start than the one known before
      */
-    public void hearWord(int judgedAllowance, String judgedBoot, long given) {
+    public boolean hearWord(int judgedAllowance, String judgedBoot, long given) {
         if (judge || given < sightedAt) {
-            return;
+            return false;
         }
+        boolean another = !bootIdentity.isEmpty() && !judgedBoot.equals(bootIdentity);
         sighted = false;
         closed = false;
         wordKnown = true;
         bootIdentity = judgedBoot;
         allowance = Math.min(judgedAllowance, slots);
         wordUntil = Math.max(wordUntil, given + options.wordLifetimeMilliseconds());
+        return another;
     }
 
     /**
@@ -203,8 +206,10 @@
      * @param given a time, in monotonic milliseconds of this host, that the word is not older than
      */
     public void hearStillWarm(long given) {
-        if (wordKnown && !sighted) {
-            hearWord(slots, bootIdentity, given);
+        if (!judge && wordKnown && !sighted && given >= sightedAt) {
+            closed = false;
+            allowance = slots;
+            wordUntil = Math.max(wordUntil, given + options.wordLifetimeMilliseconds());
         }
     }
 
