--- a/library/src/main/java/org/siskinramp/host/EntryHostParts.java
+++ b/library/src/main/java/org/siskinramp/host/EntryHostParts.java
@@ -3,13 +3,18 @@
 import java.util.function.Consumer;
 import org.siskinramp.configuration.Configuration;
 import org.siskinramp.configuration.Service;
+import org.siskinramp.journal.InquiryOptions;
+import org.siskinramp.journal.Journal;
+import org.siskinramp.journal.JournalOptions;
+import org.siskinramp.journal.RequestInquiry;
 import org.siskinramp.ledger.ClaimLedger;
+import org.siskinramp.ledger.SuspectRequests;
+import org.siskinramp.ledger.SuspicionOptions;
 import org.siskinramp.membership.Membership;
 import org.siskinramp.membership.ViewFollower;
 import org.siskinramp.platform.Platform;
 import org.siskinramp.platform.TimedPlatform;
 import org.siskinramp.routing.MessageBudget;
-import org.siskinramp.routing.RequestSuspicion;
 import org.siskinramp.routing.RoutingEnvironment;
 import org.siskinramp.routing.ServiceRouter;
 import org.siskinramp.routing.ServiceRouters;
@@ -30,6 +35,8 @@
     private final Tickets tickets;
     private final ConfigurationFollower configurationFollower;
     private final ClaimLedger ledger;
+    private final SuspectRequests suspects;
+    private final Journal journal;
     private final MessageBudget loanMessages;
 
     EntryHostParts(EntryHostBuilder builder, Consumer<Configuration> configurationListener) {
@@ -45,6 +52,12 @@
                         builder.clock(), builder.options().routing().loanMessagesPerSecond());
         routers = new ServiceRouters(this::newRouter);
         words = new WarmthWords(builder.identity(), builder.peerSender(), routers);
+        suspects =
+                new SuspectRequests(
+                        builder.clock(),
+                        builder.eventLog(),
+                        SuspicionOptions.DEFAULT,
+                        words::announce);
         membership = newMembership();
         words.connect(membership);
         viewFollower = newViewFollower();
@@ -58,6 +71,16 @@
                         builder.options().follower(),
                         configurationListener);
         ledger = newLedger();
+        journal =
+                new Journal(
+                        builder.identity().name(),
+                        builder.identity().incarnation(),
+                        builder.platform(),
+                        builder.clock(),
+                        builder.scheduler(),
+                        builder.eventLog(),
+                        builder.counters(),
+                        JournalOptions.DEFAULT);
     }
 
     private Membership newMembership() {
@@ -112,7 +135,7 @@
                         builder.newRandom(),
                         membership,
                         membership,
-                        RequestSuspicion.NONE);
+                        suspects);
         return new ServiceRouter(
                 environment, builder.options().routing(), service, loanMessages, words);
     }
@@ -144,4 +167,17 @@
     ClaimLedger ledger() {
         return ledger;
     }
+
+    Journal journal() {
+        return journal;
+    }
+
+    RequestInquiry inquiry() {
+        return new RequestInquiry(
+                platform, builder.clock(), JournalOptions.DEFAULT, InquiryOptions.DEFAULT);
+    }
+
+    SuspectRequests suspects() {
+        return suspects;
+    }
 }
