--- a/daemon/src/main/java/org/siskinramp/daemon/EntryHostDaemon.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/EntryHostDaemon.java
@@ -3,12 +3,15 @@
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.siskinramp.daemon.administration.AdministrationServer;
 import org.siskinramp.daemon.backend.JettyBackendServerLink;
 import org.siskinramp.daemon.caller.CallerServer;
 import org.siskinramp.daemon.peer.PeerLink;
 import org.siskinramp.daemon.platform.HttpPlatform;
 import org.siskinramp.daemon.settings.Settings;
+import org.siskinramp.daemon.worker.Workers;
 import org.siskinramp.host.EntryHost;
 import org.siskinramp.log.EventLog;
 import org.siskinramp.log.LogEvent;
@@ -26,7 +29,9 @@
     private final AdministrationServer administration;
     private final HostGauges gauges;
     private final PlannedStop plannedStop;
+    private final Workers workers;
     private final EventLog eventLog;
+    private final AtomicBoolean stopping = new AtomicBoolean();
 
     @Inject
     EntryHostDaemon(
@@ -39,6 +44,7 @@
             AdministrationServer administration,
             HostGauges gauges,
             PlannedStop plannedStop,
+            Workers workers,
             EventLog eventLog) {
         this.settings = settings;
         this.platform = platform;
@@ -49,6 +55,7 @@
         this.administration = administration;
         this.gauges = gauges;
         this.plannedStop = plannedStop;
+        this.workers = workers;
         this.eventLog = eventLog;
     }
 
@@ -71,12 +78,24 @@
         return settings.callerSide().address().getAddress().getHostAddress();
     }
 
+    /**
+     * Returns where the administration API listens.
+     *
+     * @return the address
+     */
+    InetSocketAddress administrationAddress() {
+        return administration.address();
+    }
+
     /**
      * Stops without cutting requests, as far as the settings leave time.
      *
-     * @return true if nothing was cut and all parts stopped in order
+     * @return true if all parts stopped in order, or had been stopped before
      */
     boolean stop() {
+        if (!stopping.compareAndSet(false, true)) {
+            return true;
+        }
         boolean whole = plannedStop.run();
         try {
             callers.stop();
@@ -84,6 +103,7 @@
             peers.stop();
             platform.stop();
             administration.stop();
+            workers.stop();
             eventLog.record(LogEvent.named("stopped").with("whole", whole));
             return true;
         } catch (IOException | RuntimeException failure) {
--- a/daemon/src/main/java/org/siskinramp/daemon/LibraryQueries.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/LibraryQueries.java
@@ -11,7 +11,6 @@
 import org.siskinramp.daemon.administration.query.HostStatus;
 import org.siskinramp.daemon.administration.query.PeerStatus;
 import org.siskinramp.daemon.administration.query.RequestHistory;
-import org.siskinramp.daemon.administration.query.RequestVerdict;
 import org.siskinramp.daemon.administration.query.ServiceStatus;
 import org.siskinramp.daemon.administration.query.TicketDetail;
 import org.siskinramp.daemon.administration.query.TicketSummary;
@@ -115,15 +114,7 @@
 
     @Override
     public CompletableFuture<RequestHistory> request(RequestKey key) {
-        return CompletableFuture.completedFuture(
-                new RequestHistory(
-                        key.caller(),
-                        key.requestId(),
-                        RequestVerdict.NO_RECORD,
-                        "this version keeps no journal of requests",
-                        0,
-                        List.of(),
-                        List.of()));
+        return entryHost.inquiry().show(key).thenApply(HistoryView::of);
     }
 
     @Override
--- a/daemon/src/main/java/org/siskinramp/daemon/PlannedStop.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/PlannedStop.java
@@ -14,7 +14,7 @@
 /**
  * Ends the work of an entry host ahead of a planned stop: it reports not ready, then refuses new
  * requests, lets those in progress end, hands its slots over and waits until the ends of all claims
- * are durable.
+ * and the journal are durable.
  */
 final class PlannedStop {
 
@@ -48,7 +48,7 @@
     /**
      * Runs the stop and returns when it has ended or its time is up.
      *
-     * @return true if no request was cut and every claim was settled
+     * @return true if no request was cut and all that must last is durable
      */
     boolean run() {
         entryHost.drain();
@@ -62,13 +62,17 @@
         pause(HAND_OVER_MILLISECONDS);
         awaitUntil(
                 Math.max(end, clock.monotonicMilliseconds() + LEAST_SETTLING_MILLISECONDS),
-                () -> entryHost.unsettledClaims() == 0);
-        int unsettled = entryHost.unsettledClaims();
+                this::isDurable);
         eventLog.record(
                 LogEvent.named("planned_stop")
                         .with("requests_cut", cut)
-                        .with("claims_unsettled", unsettled));
-        return cut == 0 && unsettled == 0;
+                        .with("claims_unsettled", entryHost.unsettledClaims())
+                        .with("journal_closed", entryHost.journalClosed().isDone()));
+        return cut == 0 && isDurable();
+    }
+
+    private boolean isDurable() {
+        return entryHost.unsettledClaims() == 0 && entryHost.journalClosed().isDone();
     }
 
     private int requestsInProgress() {
--- a/daemon/src/main/java/org/siskinramp/daemon/administration/query/RequestVerdict.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/administration/query/RequestVerdict.java
@@ -8,6 +8,8 @@
     RAN_ONCE("ran once"),
     /** It is idempotent and ran, perhaps on more than one attempt. */
     RAN("ran"),
+    /** It is idempotent and was sent, but no answer proves that it ran. */
+    MAY_HAVE_RUN_IDEMPOTENT("may have run, perhaps more than once"),
     /** It is in progress. */
     IN_PROGRESS("is in progress"),
     /** Its outcome is not known. */
