Choose the routing policy in the settings

Ruled out: an option of the command line, which settings check would not see. Change: section [routing] with policy, slots by default; the words map to routing options. Conclusion: hosts that say nothing behave as before.

--- a/daemon/src/main/java/org/siskinramp/daemon/EntryHostModule.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/EntryHostModule.java
@@ -29,7 +29,6 @@
 import org.siskinramp.log.EventLog;
 import org.siskinramp.membership.Member;
 import org.siskinramp.membership.MembershipOptions;
-import org.siskinramp.routing.RoutingOptions;
 import org.siskinramp.ticket.FollowerOptions;
 import org.siskinramp.time.Clock;
 
@@ -140,7 +139,7 @@
                         .heartbeatIntervalMilliseconds(control.heartbeatIntervalMilliseconds())
                         .leaseTermMilliseconds(control.leaseMilliseconds())
                         .build(),
-                RoutingOptions.builder().build(),
+                settings.routing().policy().options(),
                 LedgerOptions.builder().build(),
                 new FollowerOptions(
                         control.configurationPollMilliseconds(),
--- a/daemon/src/main/java/org/siskinramp/daemon/settings/Settings.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/Settings.java
@@ -14,6 +14,7 @@
  * @param platform the platform's service
  * @param workers the pool of workers
  * @param control the timing of control messages
+ * @param routing the choice of backend servers
  * @param log the log
  */
 public record Settings(
@@ -24,6 +25,7 @@
         Platform platform,
         Workers workers,
         Control control,
+        Routing routing,
         Log log) {
 
     /**
@@ -101,6 +103,13 @@
             int drainMilliseconds,
             int stopTimeoutMilliseconds) {}
 
+    /**
+     * Describes the choice of backend servers.
+     *
+     * @param policy the policy, the same on all entry hosts
+     */
+    public record Routing(RoutingPolicy policy) {}
+
     /**
      * Describes the log.
      *
--- a/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsReader.java
@@ -23,6 +23,7 @@
                     "platform",
                     "workers",
                     "control",
+                    "routing",
                     "log");
 
     private final Path file;
@@ -45,6 +46,7 @@
                         readPlatform(),
                         readWorkers(),
                         readControl(),
+                        readRouting(),
                         readLog());
         addUnknownSections();
         if (faults.isEmpty()) {
@@ -133,6 +135,14 @@
         return control;
     }
 
+    private Settings.Routing readRouting() {
+        SettingsSection section = section("routing");
+        Settings.Routing routing =
+                new Settings.Routing(section.routingPolicy("policy", RoutingPolicy.SLOTS));
+        section.close();
+        return routing;
+    }
+
     private Settings.Log readLog() {
         SettingsSection section = section("log");
         Settings.Log log = new Settings.Log(section.logLevel("level", LogLevel.INFO));
--- a/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsSection.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsSection.java
@@ -8,6 +8,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import org.tomlj.TomlParseResult;
@@ -106,11 +107,18 @@
     }
 
     LogLevel logLevel(String key, LogLevel standard) {
+        return choice(key, LogLevel.values(), LogLevel::word, standard, "is not a level");
+    }
+
+    RoutingPolicy routingPolicy(String key, RoutingPolicy standard) {
+        return choice(
+                key, RoutingPolicy.values(), RoutingPolicy::word, standard, "is not a policy");
+    }
+
+    private <T> T choice(
+            String key, T[] choices, Function<T, String> wordOf, T standard, String problem) {
         String allowed =
-                "one of "
-                        + Arrays.stream(LogLevel.values())
-                                .map(LogLevel::word)
-                                .collect(Collectors.joining(", "));
+                "one of " + Arrays.stream(choices).map(wordOf).collect(Collectors.joining(", "));
         Object value = value(key);
         if (value == null) {
             return standard;
@@ -119,14 +127,12 @@
             addFault(key, "has the wrong type", allowed);
             return standard;
         }
-        Optional<LogLevel> level =
-                Arrays.stream(LogLevel.values())
-                        .filter(candidate -> candidate.word().equals(word))
-                        .findFirst();
-        if (level.isEmpty()) {
-            addFault(key, "is not a level", allowed);
+        Optional<T> choice =
+                Arrays.stream(choices).filter(each -> wordOf.apply(each).equals(word)).findFirst();
+        if (choice.isEmpty()) {
+            addFault(key, problem, allowed);
         }
-        return level.orElse(standard);
+        return choice.orElse(standard);
     }
 
     void addFault(String key, String problem, String allowed) {
--- a/daemon/src/test/java/org/siskinramp/daemon/settings/SettingsFileTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/settings/SettingsFileTest.java
@@ -41,6 +41,16 @@
         Files.writeString(directory.resolve("token"), "abcdefghijklmnop");
     }
 
+    @Test
+    void routingPolicyIsChosenByItsWord() throws IOException {
+        assertEquals(RoutingPolicy.SLOTS, check(MINIMAL).settings().routing().policy());
+        String chosen = MINIMAL + "[routing]\npolicy = \"slots-without-lending\"\n";
+        assertEquals(
+                RoutingPolicy.SLOTS_WITHOUT_LENDING, check(chosen).settings().routing().policy());
+        String wrong = MINIMAL + "[routing]\npolicy = \"fastest\"\n";
+        assertEquals("routing.policy", check(wrong).faults().get(0).key());
+    }
+
     @Test
     void requiredKeysAreEnoughAndTheOthersHaveDefaults() throws IOException {
         Settings settings = check(MINIMAL).settings();
