--- a/stand-in/src/main/java/org/siskinramp/standin/Main.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/Main.java
@@ -15,6 +15,8 @@
 import org.siskinramp.standin.command.BackendServersCommand;
 import org.siskinramp.standin.command.CallersCommand;
 import org.siskinramp.standin.command.FaultProxyCommand;
+import org.siskinramp.standin.command.MeasureReportCommand;
+import org.siskinramp.standin.command.MeasureRunCommand;
 import org.siskinramp.standin.command.PlatformCommand;
 import org.siskinramp.standin.command.StandInCommand;
 
@@ -32,6 +34,8 @@
                             "backend-server", BackendServerCommand::new,
                             "backend-servers", BackendServersCommand::new,
                             "callers", CallersCommand::new,
+                            "measure-run", MeasureRunCommand::new,
+                            "measure-report", MeasureReportCommand::new,
                             "fault-proxy", FaultProxyCommand::new));
 
     private final PrintStream output;
--- a/stand-in/src/main/java/org/siskinramp/standin/caller/LoadShape.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/caller/LoadShape.java
@@ -32,6 +32,17 @@
         targetShares = List.copyOf(targetShares);
     }
 
+    /**
+     * Returns by what factor a run has more requests than it would have without the surge.
+     *
+     * @param milliseconds how long the run lasts
+     * @return the mean factor
+     */
+    public double meanFactor(double milliseconds) {
+        double surge = Math.min(surgeToMilliseconds, milliseconds) - surgeFromMilliseconds;
+        return 1 + (surgeFactor - 1) * Math.max(0, surge) / milliseconds;
+    }
+
     double factorAt(double milliseconds) {
         boolean surging =
                 milliseconds >= surgeFromMilliseconds && milliseconds < surgeToMilliseconds;
--- /dev/null
+++ b/stand-in/src/main/java/org/siskinramp/standin/command/MeasureRunCommand.java
@@ -0,0 +1,117 @@
+package org.siskinramp.standin.command;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.kohsuke.args4j.Option;
+import org.siskinramp.log.EventLog;
+import org.siskinramp.standin.measurement.Deployment;
+import org.siskinramp.standin.measurement.Measurement;
+import org.siskinramp.standin.measurement.RunSettings;
+import org.siskinramp.standin.measurement.Scenario;
+
+/** Measures one scenario against entry hosts that have just started. */
+public final class MeasureRunCommand implements StandInCommand {
+
+    private static final long MILLISECONDS_PER_SECOND = 1000;
+
+    @Option(name = "--deployment", usage = "whose services are copied: qazaq or lombard")
+    private String deployment = "qazaq";
+
+    @Option(name = "--policy", usage = "name of the policy that the entry hosts run")
+    private String policy = "slots";
+
+    @Option(name = "--scenario", required = true, usage = "name of the scenario")
+    private String scenario;
+
+    @Option(name = "--repeat", usage = "number of this repeat")
+    private int repeat = 1;
+
+    @Option(name = "--seed", usage = "seed of all random choices")
+    private long seed = 1;
+
+    @Option(name = "--seconds", usage = "how long the load lasts")
+    private long seconds = 10;
+
+    @Option(name = "--warm-up-seconds", usage = "how long a lower load comes first")
+    private long warmUpSeconds = 5;
+
+    @Option(name = "--outage-seconds", usage = "how long the platform is down")
+    private long outageSeconds = 60;
+
+    @Option(name = "--deadline-ms", usage = "how long callers wait, in milliseconds")
+    private long deadlineMilliseconds = 2000;
+
+    @Option(name = "--work-ms", usage = "mean duration of a request, in milliseconds")
+    private double workMilliseconds = 20;
+
+    @Option(name = "--targets", required = true, usage = "where entry hosts take requests")
+    private String targets;
+
+    @Option(name = "--administrations", required = true, usage = "where they take commands")
+    private String administrations;
+
+    @Option(name = "--process-ids", required = true, usage = "identifiers of their processes")
+    private String processIds;
+
+    @Option(name = "--servers", required = true, usage = "addresses of the backend servers")
+    private String servers;
+
+    @Option(name = "--direct-server", required = true, usage = "a server without entry hosts")
+    private String directServer;
+
+    @Option(name = "--platform", required = true, usage = "address of the platform")
+    private String platform;
+
+    @Option(name = "--token-file", required = true, usage = "file of the administration token")
+    private Path tokenFile;
+
+    @Override
+    public int run(EventLog output) {
+        try (Measurement measurement = new Measurement(settings(), output)) {
+            measurement.run();
+        }
+        return 0;
+    }
+
+    private RunSettings settings() {
+        return new RunSettings(
+                Deployment.of(deployment),
+                policy,
+                Scenario.of(scenario),
+                repeat,
+                seed,
+                seconds * MILLISECONDS_PER_SECOND,
+                warmUpSeconds * MILLISECONDS_PER_SECOND,
+                outageSeconds * MILLISECONDS_PER_SECOND,
+                deadlineMilliseconds,
+                workMilliseconds,
+                processes());
+    }
+
+    private RunSettings.Processes processes() {
+        return new RunSettings.Processes(
+                split(targets),
+                split(administrations),
+                split(processIds).stream().map(Long::valueOf).toList(),
+                split(servers),
+                directServer,
+                platform,
+                token());
+    }
+
+    private String token() {
+        try {
+            return Files.readString(tokenFile).strip();
+        } catch (IOException failure) {
+            throw new UncheckedIOException("cannot read " + tokenFile, failure);
+        }
+    }
+
+    private static List<String> split(String text) {
+        return Stream.of(text.split(",", -1)).toList();
+    }
+}
--- /dev/null
+++ b/stand-in/src/main/java/org/siskinramp/standin/measurement/MeasuredService.java
@@ -0,0 +1,60 @@
+package org.siskinramp.standin.measurement;
+
+import com.fasterxml.jackson.annotation.JsonIgnore;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.List;
+
+/**
+ * Describes a service under load, as a change ticket holds it.
+ *
+ * @param name the name
+ * @param pathPrefix the prefix of its paths
+ * @param timeLimitMilliseconds how long a request may take
+ * @param queueLimit how many requests may wait on one entry host
+ * @param state whether it is in service
+ * @param kinds the kinds of request
+ * @param serverShare its share of the backend servers
+ */
+record MeasuredService(
+        String name,
+        String pathPrefix,
+        @JsonProperty("time_limit_ms") long timeLimitMilliseconds,
+        int queueLimit,
+        String state,
+        List<MeasuredKind> kinds,
+        @JsonIgnore double serverShare) {
+
+    MeasuredService(
+            String name,
+            long timeLimitMilliseconds,
+            int queueLimit,
+            double serverShare,
+            MeasuredKind... kinds) {
+        this(
+                name,
+                "/" + name,
+                timeLimitMilliseconds,
+                queueLimit,
+                "in",
+                List.of(kinds),
+                serverShare);
+    }
+
+    /**
+     * Describes a kind of request.
+     *
+     * @param name the name
+     * @param method the HTTP method
+     * @param pathPrefix the prefix of its paths
+     * @param idempotent whether it may run more than once
+     * @param weight what a served request counts
+     * @param share its share of the service's requests
+     */
+    record MeasuredKind(
+            String name,
+            String method,
+            String pathPrefix,
+            boolean idempotent,
+            int weight,
+            @JsonIgnore double share) {}
+}
--- /dev/null
+++ b/stand-in/src/main/java/org/siskinramp/standin/measurement/MeasuredTicket.java
@@ -0,0 +1,75 @@
+package org.siskinramp.standin.measurement;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Holds the change ticket that puts a deployment into service.
+ *
+ * @param number the ticket's number
+ * @param services the services
+ * @param availabilityZones the availability zones
+ * @param hosts the hosts of the backend servers
+ * @param backendServers the backend servers
+ */
+record MeasuredTicket(
+        long number,
+        List<MeasuredService> services,
+        List<Place> availabilityZones,
+        List<Place> hosts,
+        List<Server> backendServers) {
+
+    private static final int COLD_SLOTS = 1;
+
+    static MeasuredTicket of(Deployment deployment, List<String> serverAddresses) {
+        List<Place> hosts = new ArrayList<>();
+        List<Server> servers = new ArrayList<>();
+        for (int index = 0; index < serverAddresses.size(); index++) {
+            Place host = new Place("server-host-" + (index + 1), "in");
+            hosts.add(host);
+            servers.add(
+                    new Server(
+                            "server-" + (index + 1),
+                            deployment.serviceOf(index, serverAddresses.size()).name(),
+                            host.name(),
+                            deployment.availabilityZoneOf(index),
+                            serverAddresses.get(index),
+                            deployment.slots(),
+                            COLD_SLOTS,
+                            "in"));
+        }
+        List<Place> zones =
+                deployment.availabilityZones().stream().map(name -> new Place(name, "in")).toList();
+        return new MeasuredTicket(1, deployment.services(), zones, hosts, servers);
+    }
+
+    /**
+     * Names an availability zone or a host.
+     *
+     * @param name the name
+     * @param state whether it is in service
+     */
+    record Place(String name, String state) {}
+
+    /**
+     * Describes a backend server.
+     *
+     * @param name the name
+     * @param service its service
+     * @param host its host
+     * @param availabilityZone its availability zone
+     * @param address its address
+     * @param slots how many requests it runs at once
+     * @param coldSlots how many it bears at once while cold
+     * @param state whether it is in service
+     */
+    record Server(
+            String name,
+            String service,
+            String host,
+            String availabilityZone,
+            String address,
+            int slots,
+            int coldSlots,
+            String state) {}
+}
--- /dev/null
+++ b/stand-in/src/main/java/org/siskinramp/standin/measurement/report/Page.java
@@ -0,0 +1,149 @@
+package org.siskinramp.standin.measurement.report;
+
+import java.util.List;
+
+/** Writes the page of a report in Markdown. */
+final class Page {
+
+    private static final List<Table> TABLES =
+            List.of(
+                    new Table(
+                            "Latency and service",
+                            List.of(
+                                    "p50_ms",
+                                    "p99_ms",
+                                    "p999_ms",
+                                    "read_p99_ms",
+                                    "served_weighted",
+                                    "sent",
+                                    "refused",
+                                    "failed",
+                                    "unknown")),
+                    new Table(
+                            "Load on backend servers, and what must not happen",
+                            List.of(
+                                    "over_limit",
+                                    "over_limit_share",
+                                    "cold_overload",
+                                    "shed",
+                                    "doubled",
+                                    "crossed",
+                                    "falsely_not_run",
+                                    "invariant_violations")),
+                    new Table(
+                            "Cost",
+                            List.of(
+                                    "probes_per_second",
+                                    "peer_bytes_per_second_host",
+                                    "peer_frames_per_second_host",
+                                    "loan_asks_per_second_host",
+                                    "platform_writes_per_second",
+                                    "processor_ms_per_request",
+                                    "requests_per_core_second",
+                                    "processor_percent_per_host",
+                                    "resident_mib_per_host")),
+                    new Table(
+                            "Added latency: one entry host against none",
+                            List.of(
+                                    "direct_p50_ms",
+                                    "through_p50_ms",
+                                    "added_p50_ms",
+                                    "direct_p99_ms",
+                                    "through_p99_ms",
+                                    "added_p99_ms")));
+
+    private final List<Summary> summaries;
+    private final List<Picture> pictures;
+    private final StringBuilder text = new StringBuilder();
+
+    Page(List<Summary> summaries, List<Picture> pictures) {
+        this.summaries = summaries;
+        this.pictures = pictures;
+    }
+
+    String write(ReportHead head) {
+        line("# Measurements");
+        line("");
+        line("Command: `" + head.command() + "`");
+        line("");
+        line("Commit: " + head.commit());
+        line("");
+        line("Machine: " + head.machine());
+        line("");
+        if (!head.note().isEmpty()) {
+            line(head.note());
+            line("");
+        }
+        writeMethod();
+        TABLES.forEach(this::writeTable);
+        pictures.forEach(
+                picture -> {
+                    line("![" + picture.title() + "](" + picture.fileName() + ")");
+                    line("");
+                });
+        return text.toString();
+    }
+
+    private void writeMethod() {
+        Summary first = summaries.get(0);
+        line(
+                "Each run starts its own platform, backend servers and entry hosts on loopback,"
+                        + " without added network delay: "
+                        + first.text("entry_hosts")
+                        + " entry hosts, "
+                        + first.text("backend_servers")
+                        + " backend servers of "
+                        + first.text("slots")
+                        + " slots, exponential work of mean "
+                        + first.text("work_ms")
+                        + " ms, "
+                        + first.text("seconds")
+                        + " s of Poisson load after a warm-up. Callers do not wait for answers, and"
+                        + " a latency runs from when its request was to be sent. Latencies are of"
+                        + " answered requests only; served_weighted counts all. Each figure is the"
+                        + " median of the repeats, with the least and the greatest in brackets.");
+        line("");
+    }
+
+    private void writeTable(Table table) {
+        List<Summary> rows =
+                summaries.stream()
+                        .filter(summary -> summary.figure(table.keys().get(0)).isPresent())
+                        .toList();
+        if (rows.isEmpty()) {
+            return;
+        }
+        line("## " + table.title());
+        line("");
+        line(
+                "| deployment | scenario | policy | repeats | "
+                        + String.join(" | ", table.keys())
+                        + " |");
+        line("|---|---|---|---" + "|---".repeat(table.keys().size()) + "|");
+        rows.forEach(row -> writeRow(row, table.keys()));
+        line("");
+    }
+
+    private void writeRow(Summary row, List<String> keys) {
+        StringBuilder cells = new StringBuilder();
+        for (String key : keys) {
+            cells.append(row.figure(key).map(Figure::toText).orElse("")).append(" | ");
+        }
+        line(
+                "| "
+                        + String.join(
+                                " | ",
+                                row.text("deployment"),
+                                row.scenario(),
+                                row.policy(),
+                                Integer.toString(row.repeats()))
+                        + " | "
+                        + cells.toString().strip());
+    }
+
+    private void line(String words) {
+        text.append(words).append('\n');
+    }
+
+    private record Table(String title, List<String> keys) {}
+}
