Test the load's shape, the tickets of measurements and their report

Cause: the measurement tool had no tests of its own parts. Change: tests with literal inputs; a table of the page now takes a row that has any of its figures, which a test of the idle run asked for.

--- a/stand-in/src/main/java/org/siskinramp/standin/measurement/report/Page.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/measurement/report/Page.java
@@ -106,10 +106,7 @@
     }
 
     private void writeTable(Table table) {
-        List<Summary> rows =
-                summaries.stream()
-                        .filter(summary -> summary.figure(table.keys().get(0)).isPresent())
-                        .toList();
+        List<Summary> rows = summaries.stream().filter(summary -> table.concerns(summary)).toList();
         if (rows.isEmpty()) {
             return;
         }
@@ -145,5 +142,10 @@
         text.append(words).append('\n');
     }
 
-    private record Table(String title, List<String> keys) {}
+    private record Table(String title, List<String> keys) {
+
+        boolean concerns(Summary summary) {
+            return keys.stream().anyMatch(key -> summary.figure(key).isPresent());
+        }
+    }
 }
--- a/stand-in/src/test/java/org/siskinramp/standin/caller/CallerLoadTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/caller/CallerLoadTest.java
@@ -60,12 +60,23 @@
         assertEquals(0, total.judge().falselyNotRun());
     }
 
+    @Test
+    void targetThatRefusesConnectionsIsPassedOver() {
+        second.close();
+        LoadReport total = run(0, List.of(second.address(), first.address()), List.of());
+        assertEquals(100, total.answeredOnce());
+    }
+
     private LoadReport run(double resendShare) {
         List<String> addresses = List.of(first.address(), second.address());
+        return run(resendShare, addresses, addresses);
+    }
+
+    private LoadReport run(double resendShare, List<String> targets, List<String> judges) {
         CallerSettings settings =
                 new CallerSettings(
-                        addresses,
-                        addresses,
+                        targets,
+                        judges,
                         LoadKind.parseAll("read:GET:/schedule:1,order:POST:/orders:1"),
                         100,
                         0,
