--- a/library/src/main/java/org/siskinramp/ledger/ClaimTable.java
+++ b/library/src/main/java/org/siskinramp/ledger/ClaimTable.java
@@ -81,6 +81,7 @@
         }
     }
 
+    /** Counts the claims that are open or whose end is not durable. */
     synchronized int size() {
         return entries.size();
     }
--- a/library/src/main/java/org/siskinramp/routing/ServerObserver.java
+++ b/library/src/main/java/org/siskinramp/routing/ServerObserver.java
@@ -75,7 +75,7 @@
             recordFailure(server, now);
             return;
         }
-        server.health().recordSuccess(latencyMilliseconds);
+        server.health().recordSuccess(latencyMilliseconds, now);
         state.latencies().add(latencyMilliseconds);
         if (server.warmth().recordAnswer(latencyMilliseconds, now)) {
             foundCold(server, "slow", effects);
@@ -150,6 +150,18 @@
         tell(server, effects);
     }
 
+    /**
+     * Isolates a judged server and tells the other hosts.
+     *
+     * @param server the server
+     * @param effects what happens outside the lock
+     */
+    void isolate(ServerState server, Effects effects) {
+        state.isolation().begin(server, state.now());
+        log("server_isolated", server, "suspect_request");
+        tell(server, effects);
+    }
+
     private void close(ServerState server, String reason, Effects effects) {
         if (server.warmth().isClosed()) {
             return;
