--- a/library/src/test/java/org/siskinramp/host/RandomisedRuns.java
+++ b/library/src/test/java/org/siskinramp/host/RandomisedRuns.java
@@ -46,19 +46,15 @@
     }
 
     /**
-     * Runs a range of seeds given as {@code A..B}, and prints the events that mention a word.
+     * Executes one run and prints its violations and the events that mention a word.
      *
-     * @param arguments the range, and a word to look for
+     * @param seed the seed
+     * @param word the word
+     * @param output where the lines go
      */
-    public static void main(String[] arguments) {
-        String[] range = arguments[0].split("\\.\\.", -1);
-        if (arguments.length > 1) {
-            RandomisedRun run =
-                    new RandomisedRun(Long.parseLong(range[0]), RandomisedRun.Options.DEFAULT);
-            run.execute().forEach(System.out::println);
-            run.eventsWith(arguments[1]).forEach(System.out::println);
-            return;
-        }
-        execute(Long.parseLong(range[0]), Long.parseLong(range[1]), System.out);
+    public static void printEvents(long seed, String word, PrintStream output) {
+        RandomisedRun run = new RandomisedRun(seed, RandomisedRun.Options.DEFAULT);
+        run.execute().forEach(output::println);
+        run.eventsWith(word).forEach(output::println);
     }
 }
--- a/stand-in/src/main/java/org/siskinramp/standin/Main.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/Main.java
@@ -18,6 +18,7 @@
 import org.siskinramp.standin.command.MeasureReportCommand;
 import org.siskinramp.standin.command.MeasureRunCommand;
 import org.siskinramp.standin.command.PlatformCommand;
+import org.siskinramp.standin.command.RandomisedCommand;
 import org.siskinramp.standin.command.StandInCommand;
 
 /** Starts the stand-in that the first argument names. */
@@ -36,7 +37,8 @@
                             "callers", CallersCommand::new,
                             "measure-run", MeasureRunCommand::new,
                             "measure-report", MeasureReportCommand::new,
-                            "fault-proxy", FaultProxyCommand::new));
+                            "fault-proxy", FaultProxyCommand::new,
+                            "randomised", RandomisedCommand::new));
 
     private final PrintStream output;
     private final PrintStream errors;
