Let a malformed claim row refuse only its own request

Cause: ClaimGroup and Settlement read rows without regard to malformed ones; the exception left the whole group undecided, or put the whole group of outcomes back for ever. Change: a claim whose row cannot be read is refused with OUTCOME_UNKNOWN and counted as a violation; an outcome over such a row ends as violated. A row without token or content hash is malformed too. Ruled out: refusing as not run, since the row may stand for a run. Conclusion: one bad row no longer stops claims or outcomes of others.

--- a/library/src/main/java/org/siskinramp/ledger/ClaimDecisions.java
+++ b/library/src/main/java/org/siskinramp/ledger/ClaimDecisions.java
@@ -66,6 +66,16 @@
                 answers.load(found).<ClaimResult>thenApply(ClaimResult.Kept::new), entry.result());
     }
 
+    /** Refuses a claim whose row cannot be read, since what the row stands for may have run. */
+    void refuseMalformed(Entry entry) {
+        parts.counters().add(Counter.INVARIANT_VIOLATIONS);
+        refuse(
+                entry,
+                new ResultException(
+                        ResultCode.OUTCOME_UNKNOWN,
+                        "the claim row is malformed; request=" + entry.request().key()));
+    }
+
     private void log(Entry entry, String result) {
         parts.eventLog()
                 .record(
--- a/library/src/main/java/org/siskinramp/ledger/ClaimGroup.java
+++ b/library/src/main/java/org/siskinramp/ledger/ClaimGroup.java
@@ -116,7 +116,14 @@
     }
 
     private boolean isFree(Entry entry, Row row) {
-        ClaimRow found = ClaimRowCodec.read(row.value());
+        ClaimRow found;
+        try {
+            found = ClaimRowCodec.read(row.value());
+        } catch (ResultException malformed) {
+            table.expect(entry, row.version());
+            decisions.refuseMalformed(entry);
+            return false;
+        }
         if (found.token().equals(table.row(entry).token())) {
             decisions.grant(entry, row.version());
             return false;
--- a/library/src/main/java/org/siskinramp/ledger/ClaimRowCodec.java
+++ b/library/src/main/java/org/siskinramp/ledger/ClaimRowCodec.java
@@ -80,10 +80,10 @@
             JsonNode json = MAPPER.readTree(text);
             return new ClaimRow(
                     ClaimState.ofWord(json.path("state").asText()),
-                    json.path("token").asText(),
+                    required(json, "token"),
                     json.path("host").asText(),
                     json.path("incarnation").asText(),
-                    json.path("content_hash").asText(),
+                    required(json, "content_hash"),
                     json.path("claimed_at").asLong(),
                     json.path("deadline").asLong(),
                     json.path("settled_at").asLong(),
@@ -94,6 +94,14 @@
         }
     }
 
+    private static String required(JsonNode json, String field) {
+        String text = json.path(field).asText();
+        if (text.isEmpty()) {
+            throw new IllegalArgumentException("no " + field);
+        }
+        return text;
+    }
+
     private static Optional<KeptAnswer> readAnswer(JsonNode json) {
         if (json.isMissingNode()) {
             return Optional.empty();
--- a/library/src/main/java/org/siskinramp/ledger/Settlement.java
+++ b/library/src/main/java/org/siskinramp/ledger/Settlement.java
@@ -7,6 +7,7 @@
 import org.siskinramp.platform.RowKey;
 import org.siskinramp.platform.Write;
 import org.siskinramp.request.Answer;
+import org.siskinramp.result.ResultException;
 
 /** Brings one claim row to its final content. It is used by one thread at a time. */
 final class Settlement {
@@ -101,7 +102,12 @@
             return fence ? Reading.TO_WRITE : Reading.VIOLATED;
         }
         version = row.get().version();
-        ClaimRow found = ClaimRowCodec.read(row.get().value());
+        ClaimRow found;
+        try {
+            found = ClaimRowCodec.read(row.get().value());
+        } catch (ResultException malformed) {
+            return Reading.VIOLATED;
+        }
         if (found.token().equals(target.token())) {
             return reconcileOwn(found);
         }
--- a/library/src/test/java/org/siskinramp/ledger/ClaimLedgerTest.java
+++ b/library/src/test/java/org/siskinramp/ledger/ClaimLedgerTest.java
@@ -7,6 +7,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
@@ -292,6 +293,34 @@
         assertEquals(0, first.unsettled());
     }
 
+    @Test
+    void refusesOnlyTheRequestWhoseRowIsMalformed() {
+        malform("1");
+        CompletableFuture<ClaimResult> one = first.claim(request("1", "aa"));
+        CompletableFuture<ClaimResult> two = first.claim(request("2", "bb"));
+        assertEquals(ResultCode.OUTCOME_UNKNOWN, code(one));
+        granted(two);
+    }
+
+    @Test
+    void settlesTheRestOfAGroupAroundAMalformedRow() {
+        Claim one = granted(first.claim(request("1", "aa")));
+        Claim two = granted(first.claim(request("2", "bb")));
+        malform("1");
+        var unused = first.recordOutcome(one, answer("one"));
+        CompletableFuture<Void> durable = first.recordOutcome(two, answer("two"));
+        time.advance(2_000);
+        assertTrue(durable.isDone());
+        assertEquals("two", kept(second.claim(request("2", "bb"))));
+        assertEquals(0, first.unsettled());
+    }
+
+    private void malform(String identifier) {
+        RowKey row = ClaimRowCodec.rowKey(new RequestKey("crew 7", identifier));
+        var unused = platform.commit(List.of(new Write(row, Optional.of("{"), Write.ANY)));
+        time.advance(100);
+    }
+
     @Test
     void groupsClaimsWithinItsShareOfTransactions() {
         for (int index = 0; index < 1_000; index++) {
