--- a/library/src/test/java/org/siskinramp/ledger/ClaimLedgerTest.java
+++ b/library/src/test/java/org/siskinramp/ledger/ClaimLedgerTest.java
@@ -14,6 +14,7 @@
 import org.siskinramp.platform.FakePlatform;
 import org.siskinramp.platform.FakePlatform.Fault;
 import org.siskinramp.platform.Platform;
+import org.siskinramp.platform.RewritingPlatform;
 import org.siskinramp.platform.RowKey;
 import org.siskinramp.platform.Write;
 import org.siskinramp.request.Answer;
--- a/library/src/test/java/org/siskinramp/ledger/LedgerRaceTest.java
+++ b/library/src/test/java/org/siskinramp/ledger/LedgerRaceTest.java
@@ -19,6 +19,7 @@
 import org.siskinramp.platform.FakePlatform;
 import org.siskinramp.platform.FakePlatform.Fault;
 import org.siskinramp.platform.Platform;
+import org.siskinramp.platform.RewritingPlatform;
 import org.siskinramp.platform.Write;
 import org.siskinramp.request.Answer;
 import org.siskinramp.request.Request;
--- a/library/src/test/java/org/siskinramp/ledger/RewritingPlatform.java
+++ b/library/src/test/java/org/siskinramp/platform/RewritingPlatform.java
@@ -1,17 +1,13 @@
-package org.siskinramp.ledger;
+package org.siskinramp.platform;
 
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.UnaryOperator;
-import org.siskinramp.platform.ListedHost;
-import org.siskinramp.platform.Platform;
-import org.siskinramp.platform.Row;
-import org.siskinramp.platform.RowKey;
-import org.siskinramp.platform.Write;
 
 /** Changes writes on their way, to show what a test would see without a mechanism. */
-record RewritingPlatform(Platform platform, UnaryOperator<Write> rewrite) implements Platform {
+public record RewritingPlatform(Platform platform, UnaryOperator<Write> rewrite)
+        implements Platform {
 
     @Override
     public CompletableFuture<Void> commit(List<Write> writes) {
