--- a/daemon/src/main/java/org/siskinramp/daemon/settings/Settings.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/Settings.java
@@ -14,6 +14,7 @@
  * @param platform the platform's service
  * @param workers the pool of workers
  * @param control the timing of control messages
+ * @param routing the choice of backend servers
  * @param log the log
  */
 public record Settings(
@@ -24,6 +25,7 @@
         Platform platform,
         Workers workers,
         Control control,
+        Routing routing,
         Log log) {
 
     /**
@@ -91,14 +93,23 @@
      * @param heartbeatIntervalMilliseconds the time between heartbeats
      * @param leaseMilliseconds how long the acknowledgement of a heartbeat holds
      * @param configurationPollMilliseconds the time between looks for a newer configuration
+     * @param drainMilliseconds how long a stopping host that is not ready still takes new requests
      * @param stopTimeoutMilliseconds how long a graceful stop may take
      */
     public record Control(
             int heartbeatIntervalMilliseconds,
             int leaseMilliseconds,
             int configurationPollMilliseconds,
+            int drainMilliseconds,
             int stopTimeoutMilliseconds) {}
 
+    /**
+     * Describes the choice of backend servers.
+     *
+     * @param policy the policy, the same on all entry hosts
+     */
+    public record Routing(RoutingPolicy policy) {}
+
     /**
      * Describes the log.
      *
--- a/daemon/src/test/java/org/siskinramp/daemon/settings/SettingsFileTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/settings/SettingsFileTest.java
@@ -41,6 +41,16 @@
         Files.writeString(directory.resolve("token"), "abcdefghijklmnop");
     }
 
+    @Test
+    void routingPolicyIsChosenByItsWord() throws IOException {
+        assertEquals(RoutingPolicy.SLOTS, check(MINIMAL).settings().routing().policy());
+        String chosen = MINIMAL + "[routing]\npolicy = \"slots-without-lending\"\n";
+        assertEquals(
+                RoutingPolicy.SLOTS_WITHOUT_LENDING, check(chosen).settings().routing().policy());
+        String wrong = MINIMAL + "[routing]\npolicy = \"fastest\"\n";
+        assertEquals("routing.policy", check(wrong).faults().get(0).key());
+    }
+
     @Test
     void requiredKeysAreEnoughAndTheOthersHaveDefaults() throws IOException {
         Settings settings = check(MINIMAL).settings();
@@ -60,7 +70,7 @@
         assertEquals(
                 new Settings.Platform(URI.create("http://10.0.9.9:7000"), 1_000),
                 settings.platform());
-        assertEquals(new Settings.Control(500, 2_000, 1_000, 30_000), settings.control());
+        assertEquals(new Settings.Control(500, 2_000, 1_000, 1_000, 30_000), settings.control());
         assertEquals(directory.resolve("token"), settings.administration().tokenFile());
         assertEquals(new Settings.Workers(4), settings.workers());
         assertEquals(LogLevel.INFO, settings.log().level());
--- a/library/src/main/java/org/siskinramp/host/WarmthWords.java
+++ b/library/src/main/java/org/siskinramp/host/WarmthWords.java
@@ -10,6 +10,7 @@
 import org.siskinramp.membership.HeartbeatContribution;
 import org.siskinramp.membership.Membership;
 import org.siskinramp.peer.Acknowledgement;
+import org.siskinramp.peer.AllowanceAsk;
 import org.siskinramp.peer.AllowanceChange;
 import org.siskinramp.peer.ColdSighting;
 import org.siskinramp.peer.Heartbeat;
@@ -144,4 +145,12 @@
     public void tellSighting(String backendServer, String bootIdentity) {
         announce(new ColdSighting(backendServer, bootIdentity));
     }
+
+    @Override
+    public void askForWord(String backendServer) {
+        membership
+                .home(new SlotKey(backendServer, 0))
+                .filter(host -> !host.equals(identity.name()))
+                .ifPresent(host -> peerSender.send(host, new AllowanceAsk(backendServer)));
+    }
 }
--- a/library/src/main/java/org/siskinramp/routing/ServerObserver.java
+++ b/library/src/main/java/org/siskinramp/routing/ServerObserver.java
@@ -11,7 +11,6 @@
 import org.siskinramp.log.Counter;
 import org.siskinramp.log.LogEvent;
 import org.siskinramp.peer.ServerAllowance;
-import org.siskinramp.request.Request;
 import org.siskinramp.slot.SlotKey;
 
 /**
@@ -46,6 +45,13 @@
          */
         void tellSighting(String backendServer, String bootIdentity);
 
+        /**
+         * Asks the judge of a server to name it in its next heartbeats.
+         *
+         * @param backendServer the server
+         */
+        void askForWord(String backendServer);
+
         /**
          * Reports the end of a probe.
          *
@@ -68,20 +74,16 @@
             recordFailure(server, now);
             return;
         }
-        server.health().recordSuccess(latencyMilliseconds);
+        server.health().recordSuccess(latencyMilliseconds, now);
         state.latencies().add(latencyMilliseconds);
         if (server.warmth().recordAnswer(latencyMilliseconds, now)) {
             foundCold(server, "slow", effects);
         }
     }
 
-    void failed(
-            ServerState server,
-            Request request,
-            AttemptException failure,
-            long lastedMilliseconds,
-            Effects effects) {
+    void failed(OpenAttempt attempt, AttemptException failure, Effects effects) {
         long now = state.now();
+        ServerState server = attempt.server();
         noteBootIdentity(server, failure.loadReport().bootIdentity(), effects);
         AttemptFailure reason = failure.failure();
         switch (reason) {
@@ -98,12 +100,15 @@
                 blameBroken(server, effects);
             }
             case CONNECTION_BROKEN -> {
-                server.rememberBroken(request.contentHash(), now);
+                server.rememberBroken(attempt.run().request().contentHash(), now);
+                if (attempt.outlivedServer()) {
+                    blameBroken(server, effects);
+                }
                 recordFailure(server, now);
                 startCold(server, "broken", effects);
             }
             case TIMED_OUT -> {
-                server.health().recordSlow(lastedMilliseconds);
+                server.health().recordSlow(now - attempt.startedAt());
                 recordFailure(server, now);
             }
             case CONNECTION_TIMED_OUT, ANSWER_INCOMPLETE, ANSWER_CROSSED, ANSWER_TOO_LARGE ->
@@ -219,18 +224,29 @@
     }
 
     /**
-     * Sends the probes that are due and repeats sightings that the judge has not answered.
+     * Names a judged server in the next heartbeats.
+     *
+     * @param backendServer the server
+     */
+    void nameServer(String backendServer) {
+        ServerState server = state.servers().get(backendServer);
+        if (server != null) {
+            server.nameUntil(state.now() + state.options().warmth().wordLifetimeMilliseconds());
+        }
+    }
+
+    /**
+     * Sends the probes that are due and asks for the words that are missing.
      *
      * @param effects what happens outside the lock
      */
     void watch(Effects effects) {
         long now = state.now();
         for (ServerState server : state.servers().values()) {
-            if (server.warmth().isSightingOpen()
-                    && server.isProbeDue(now, state.options().probeIntervalMilliseconds())) {
-                server.beginProbe(now);
-                server.endProbe();
-                tell(server, effects);
+            if (server.warmth().needsWord(now) && server.isWordAskDue(now)) {
+                server.askedForWord(now);
+                String name = server.backendServer().name();
+                effects.add(() -> words.askForWord(name));
             }
             if (server.warmth().isJudge() && server.takesNewWork()) {
                 long interval =
@@ -289,18 +305,21 @@
      * @param explicit the servers that the word names
      * @param implicit the servers that the word leaves out as warm
      * @param given a time, in monotonic milliseconds of this host, that the word is not older than
+     * @param effects what happens outside the lock
      */
-    void hearWords(List<ServerAllowance> explicit, List<String> implicit, long given) {
+    void hearWords(
+            List<ServerAllowance> explicit, List<String> implicit, long given, Effects effects) {
         for (ServerAllowance word : explicit) {
             ServerState server = state.servers().get(word.backendServer());
-            if (server != null) {
-                server.warmth().hearWord(word.allowance(), true, given);
+            if (server != null
+                    && server.warmth().hearWord(word.allowance(), word.bootIdentity(), given)) {
+                blameBroken(server, effects);
             }
         }
         for (String name : implicit) {
             ServerState server = state.servers().get(name);
             if (server != null) {
-                server.warmth().hearWord(server.backendServer().slots(), false, given);
+                server.warmth().hearStillWarm(given);
             }
         }
     }
--- a/library/src/main/java/org/siskinramp/routing/ServiceRouter.java
+++ b/library/src/main/java/org/siskinramp/routing/ServiceRouter.java
@@ -195,6 +195,15 @@
         locked(effects -> observer.hearSighting(backendServer, bootIdentity, effects));
     }
 
+    /**
+     * Names a server in the next heartbeats, if this host judges it.
+     *
+     * @param backendServer the server
+     */
+    public void nameServer(String backendServer) {
+        locked(effects -> observer.nameServer(backendServer));
+    }
+
     /**
      * Follows the words of another host that judges servers.
      *
@@ -205,7 +214,7 @@
     public void hearWords(List<ServerAllowance> explicit, List<String> implicit, long given) {
         locked(
                 effects -> {
-                    observer.hearWords(explicit, implicit, given);
+                    observer.hearWords(explicit, implicit, given, effects);
                     settle(effects);
                 });
     }
@@ -257,6 +266,24 @@
         }
     }
 
+    /**
+     * Describes the work of the service.
+     *
+     * @return the slots and the waiting requests at this moment
+     */
+    public ServiceWork work() {
+        lock.lock();
+        try {
+            return new ServiceWork(
+                    state.service().name(),
+                    state.slots().size(),
+                    state.slots().busy(),
+                    state.queue().size());
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /**
      * Lists the servers that this host judges, each with its allowance.
      *
@@ -274,7 +301,7 @@
                                             server.backendServer().name(),
                                             server.warmth().judgedAllowance(),
                                             server.warmth().bootIdentity()),
-                                    server.warmth().isWarm()));
+                                    server.warmth().isWarm() && !server.isNamed(state.now())));
                 }
             }
             return judged;
@@ -287,7 +314,7 @@
      * Describes a server that this host judges.
      *
      * @param allowance its allowance
-     * @param warm whether all its slots are usable
+     * @param warm whether all its slots are usable and no host has asked for it to be named
      */
     public record JudgedServer(ServerAllowance allowance, boolean warm) {}
 
@@ -308,6 +335,13 @@
          * @param bootIdentity the boot identity that was seen, or an empty string
          */
         void tellSighting(String backendServer, String bootIdentity);
+
+        /**
+         * Asks the judge of a server to name it in its next heartbeats.
+         *
+         * @param backendServer the server
+         */
+        void askForWord(String backendServer);
     }
 
     private void locked(Consumer<Effects> command) {
@@ -366,6 +400,11 @@
             words.tellSighting(backendServer, bootIdentity);
         }
 
+        @Override
+        public void askForWord(String backendServer) {
+            words.askForWord(backendServer);
+        }
+
         @Override
         public void probed(String backendServer, LoadReport report) {
             locked(
--- a/library/src/main/java/org/siskinramp/routing/ServiceRouters.java
+++ b/library/src/main/java/org/siskinramp/routing/ServiceRouters.java
@@ -13,6 +13,7 @@
 import org.siskinramp.configuration.BackendServer;
 import org.siskinramp.configuration.Configuration;
 import org.siskinramp.configuration.Service;
+import org.siskinramp.peer.AllowanceAsk;
 import org.siskinramp.peer.AllowanceChange;
 import org.siskinramp.peer.ColdSighting;
 import org.siskinramp.peer.LoanAsk;
@@ -115,6 +116,8 @@
                     sighting.backendServer(),
                     router ->
                             router.hearSighting(sighting.backendServer(), sighting.bootIdentity()));
+        } else if (message instanceof AllowanceAsk ask) {
+            ofServer(ask.backendServer(), router -> router.nameServer(ask.backendServer()));
         } else {
             return false;
         }
@@ -180,6 +183,15 @@
         return routers.values().stream().mapToInt(ServiceRouter::waiting).sum();
     }
 
+    /**
+     * Describes the work of each service.
+     *
+     * @return the work in the order of the services' names
+     */
+    public List<ServiceWork> work() {
+        return new TreeMap<>(routers).values().stream().map(ServiceRouter::work).toList();
+    }
+
     /**
      * Lists the servers that this host judges.
      *
--- a/library/src/main/java/org/siskinramp/routing/ServiceState.java
+++ b/library/src/main/java/org/siskinramp/routing/ServiceState.java
@@ -177,7 +177,7 @@
         return server != null
                 && server.takesNewWork()
                 && server.health().isEligible(now)
-                && slot.key().index() < server.warmth().allowance(now);
+                && (slot.isBorrowed() || slot.key().index() < server.warmth().allowance(now));
     }
 
     /**
@@ -198,9 +198,16 @@
         if (byServer.isEmpty()) {
             return Optional.empty();
         }
+        double typical = (double) typicalLatencyMilliseconds();
         List<ServerCandidate> candidates =
                 byServer.keySet().stream()
-                        .map(name -> servers.get(name).candidate(environment.availabilityZone()))
+                        .map(
+                                name ->
+                                        servers.get(name)
+                                                .candidate(
+                                                        environment.availabilityZone(),
+                                                        now,
+                                                        typical))
                         .toList();
         int chosen = options.serverChoice().choose(candidates, environment.random());
         return Optional.of(byServer.get(candidates.get(chosen).backendServer()));
@@ -216,6 +223,22 @@
         return options.areSlotsOwned() ? usableSlots(now) : unownedSlots(now);
     }
 
+    /**
+     * Tells which start of the server a request in a slot must reach. A slot that a cold server
+     * bears may be used with any start.
+     *
+     * @param slot the slot
+     * @param server its server
+     * @return the boot identity, or an empty string
+     */
+    String expectedBootIdentity(Slot slot, ServerState server) {
+        if (slot.isBorrowed()) {
+            return slot.bootIdentity();
+        }
+        boolean coldSlot = slot.key().index() < server.backendServer().coldSlots();
+        return coldSlot || !options.areSlotsOwned() ? "" : server.warmth().bootIdentity();
+    }
+
     private List<Slot> unownedSlots(long now) {
         return servers.values().stream()
                 .filter(server -> server.takesNewWork() && server.health().isEligible(now))
--- a/library/src/main/java/org/siskinramp/routing/SlotTable.java
+++ b/library/src/main/java/org/siskinramp/routing/SlotTable.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 import org.siskinramp.slot.SlotKey;
 
 /** Keeps the slots of one service that this host holds or has borrowed. */
@@ -53,6 +54,18 @@
         return borrowed.putIfAbsent(slot.key(), slot) == null;
     }
 
+    /**
+     * Tells whether a loan is in use here. A repeated grant of it must not give it back.
+     *
+     * @param lender the lending host
+     * @param loanNumber the lender's number of the loan
+     * @return true until the loan is given back
+     */
+    boolean isBorrowed(String lender, long loanNumber) {
+        return borrowed.values().stream()
+                .anyMatch(slot -> slot.lender().equals(lender) && slot.loanNumber() == loanNumber);
+    }
+
     /**
      * Takes out the borrowed slots that are idle.
      *
@@ -65,6 +78,17 @@
         return idle;
     }
 
+    int size() {
+        return own.size() + borrowed.size();
+    }
+
+    int busy() {
+        return (int)
+                Stream.concat(own.values().stream(), borrowed.values().stream())
+                        .filter(slot -> slot.use() == Slot.Use.BUSY)
+                        .count();
+    }
+
     Collection<Slot> own() {
         return own.values();
     }
--- a/library/src/test/java/org/siskinramp/routing/FakeServers.java
+++ b/library/src/test/java/org/siskinramp/routing/FakeServers.java
@@ -1,5 +1,6 @@
 package org.siskinramp.routing;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -15,7 +16,7 @@
 import org.siskinramp.attempt.LoadReport;
 import org.siskinramp.configuration.BackendServer;
 import org.siskinramp.request.Answer;
-import org.siskinramp.request.Request;
+import org.siskinramp.request.RequestKey;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.time.VirtualTime;
 
@@ -52,8 +53,8 @@
         return overloads;
     }
 
-    public int runsOf(Request request) {
-        return runs.getOrDefault(request.key().toString(), 0);
+    public int runsOf(RequestKey key) {
+        return runs.getOrDefault(key.toString(), 0);
     }
 
     /** Returns the most that any server had in progress while it ran a target, itself included. */
@@ -90,6 +91,12 @@
             fail(entry, AttemptFailure.LEAVING);
             return;
         }
+        String expected = entry.attempt.expectedBootIdentity();
+        if (!expected.isEmpty() && !expected.equals(server.report().bootIdentity())) {
+            entry.result.completeExceptionally(
+                    new AttemptException(AttemptFailure.NOT_PERMITTED, server.report(), "boot"));
+            return;
+        }
         entry.server = server;
         entry.boot = server.boot;
         server.inProgress++;
@@ -129,7 +136,8 @@
         leave(entry);
         entry.server.answers++;
         int status = entry.server.failsFast ? 500 : 200;
-        Answer answer = new Answer(ResultCode.ANSWERED, status, List.of(), new byte[0]);
+        byte[] body = entry.attempt.request().key().toString().getBytes(StandardCharsets.UTF_8);
+        Answer answer = new Answer(ResultCode.ANSWERED, status, List.of(), body);
         LoadReport report = entry.server.report();
         time.schedule(
                 DISTANCE_MILLISECONDS,
@@ -217,6 +225,10 @@
             return new LoadReport(name + "-" + boot, inProgress, leaving);
         }
 
+        public String name() {
+            return name;
+        }
+
         /** Makes the server cold until it has given some answers. */
         public Server bearsWhenCold(int requests, int answersUntilWarm) {
             coldSlots = requests;
--- a/library/src/test/java/org/siskinramp/routing/RoutingCell.java
+++ b/library/src/test/java/org/siskinramp/routing/RoutingCell.java
@@ -15,6 +15,7 @@
 import org.siskinramp.configuration.ServiceState;
 import org.siskinramp.ledger.SuspectRequests;
 import org.siskinramp.ledger.SuspicionOptions;
+import org.siskinramp.peer.AllowanceAsk;
 import org.siskinramp.peer.AllowanceChange;
 import org.siskinramp.peer.ColdSighting;
 import org.siskinramp.peer.PeerMessage;
@@ -46,6 +47,7 @@
     final UniformRandomProvider random;
     Configuration configuration;
     long authorityUntil = Long.MAX_VALUE;
+    boolean repeatsMessages;
     int peerMessages;
     private int nextRequest = 1;
 
@@ -140,12 +142,21 @@
                                                 host,
                                                 new ColdSighting(backendServer, bootIdentity)));
             }
+
+            @Override
+            public void askForWord(String backendServer) {
+                hosts.keySet()
+                        .forEach(host -> deliver(from, host, new AllowanceAsk(backendServer)));
+            }
         };
     }
 
     private void deliver(String from, String to, PeerMessage message) {
         peerMessages++;
         time.schedule(PEER_DISTANCE_MILLISECONDS, () -> receive(from, to, message));
+        if (repeatsMessages) {
+            time.schedule(5 * PEER_DISTANCE_MILLISECONDS, () -> receive(from, to, message));
+        }
     }
 
     private void receive(String from, String to, PeerMessage message) {
@@ -206,6 +217,17 @@
         time.schedule(HEARTBEAT_MILLISECONDS, this::heartbeat);
     }
 
+    /** Returns how many slots of a server its judge lets be used. */
+    int judgedAllowance(String backendServer) {
+        return hosts.values().stream()
+                .flatMap(routers -> routers.judgedServers().stream())
+                .map(JudgedServer::allowance)
+                .filter(allowance -> allowance.backendServer().equals(backendServer))
+                .mapToInt(ServerAllowance::allowance)
+                .findFirst()
+                .orElse(-1);
+    }
+
     /** Files a ticket that takes an availability zone out or brings it back. */
     void setAvailabilityZone(String name, ServiceState state) {
         configuration =
--- a/stand-in/src/main/java/org/siskinramp/standin/Main.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/Main.java
@@ -12,8 +12,11 @@
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.result.ResultException;
 import org.siskinramp.standin.command.BackendServerCommand;
+import org.siskinramp.standin.command.BackendServersCommand;
 import org.siskinramp.standin.command.CallersCommand;
 import org.siskinramp.standin.command.FaultProxyCommand;
+import org.siskinramp.standin.command.MeasureReportCommand;
+import org.siskinramp.standin.command.MeasureRunCommand;
 import org.siskinramp.standin.command.PlatformCommand;
 import org.siskinramp.standin.command.StandInCommand;
 
@@ -29,7 +32,10 @@
                     Map.of(
                             "platform", PlatformCommand::new,
                             "backend-server", BackendServerCommand::new,
+                            "backend-servers", BackendServersCommand::new,
                             "callers", CallersCommand::new,
+                            "measure-run", MeasureRunCommand::new,
+                            "measure-report", MeasureReportCommand::new,
                             "fault-proxy", FaultProxyCommand::new));
 
     private final PrintStream output;
--- a/stand-in/src/test/java/org/siskinramp/standin/caller/CallerLoadTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/caller/CallerLoadTest.java
@@ -60,12 +60,23 @@
         assertEquals(0, total.judge().falselyNotRun());
     }
 
+    @Test
+    void targetThatRefusesConnectionsIsPassedOver() {
+        second.close();
+        LoadReport total = run(0, List.of(second.address(), first.address()), List.of());
+        assertEquals(100, total.answeredOnce());
+    }
+
     private LoadReport run(double resendShare) {
         List<String> addresses = List.of(first.address(), second.address());
+        return run(resendShare, addresses, addresses);
+    }
+
+    private LoadReport run(double resendShare, List<String> targets, List<String> judges) {
         CallerSettings settings =
                 new CallerSettings(
-                        addresses,
-                        addresses,
+                        targets,
+                        judges,
                         LoadKind.parseAll("read:GET:/schedule:1,order:POST:/orders:1"),
                         100,
                         0,
@@ -74,10 +85,10 @@
                         7,
                         10_000,
                         resendShare,
-                        1000);
+                        1000,
+                        LoadShape.STEADY);
         try (CallerLoad load = new CallerLoad(settings, new SystemClock(), scheduler)) {
-            List<LoadReport> reports = load.run().join();
-            return reports.get(reports.size() - 1);
+            return load.run().join().total();
         }
     }
 
--- a/stand-in/src/test/java/org/siskinramp/standin/server/BackendServerStandInTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/server/BackendServerStandInTest.java
@@ -59,6 +59,16 @@
         assertEquals("1", verdict().doubled().get(0).requestId());
     }
 
+    @Test
+    void answerRepeatsTheAttempt() throws InterruptedException {
+        start(settings());
+        CompletableFuture<HttpResponse<String>> answer =
+                client.send("GET", "/a", "", "Request-Id", "1", "Attempt", "entry-1/5/9");
+        awaitInProgress(1);
+        time.advance(100);
+        assertEquals("entry-1/5/9", answer.join().headers().firstValue("Attempt").orElse(""));
+    }
+
     @Test
     void closedConnectionCancelsTheWork() throws Exception {
         start(settings());
@@ -80,11 +90,21 @@
     void passedDeadlineStopsTheWork() throws InterruptedException {
         start(settings());
         CompletableFuture<HttpResponse<String>> answer =
-                client.send("GET", "/a", "", "Request-Deadline", "30", "Request-Id", "1");
+                client.send(
+                        "GET",
+                        "/a",
+                        "",
+                        "Request-Deadline",
+                        "30",
+                        "Request-Id",
+                        "1",
+                        "Attempt",
+                        "h/i/1");
         awaitInProgress(1);
         time.advance(40);
         assertEquals(504, answer.join().statusCode());
         assertEquals(1, verdict().expired());
+        assertEquals("h/i/1", answer.join().headers().firstValue("Attempt").orElse(""));
     }
 
     @Test
