Warm cold backend servers up gently before a measurement

Change: the warm-up starts at 0.15 and triples in its second half; the idle scenario waits as long before it counts.

--- a/stand-in/src/main/java/org/siskinramp/standin/measurement/Measurement.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/measurement/Measurement.java
@@ -24,8 +24,9 @@
     private static final int THREADS = 2;
     private static final int CALLERS = 20;
     private static final double MILLISECONDS_PER_SECOND = 1000;
-    private static final double WARM_UP_UTILISATION = 0.4;
-    private static final double WARM_UP_GREATEST_REQUESTS_PER_SECOND = 500;
+    private static final double WARM_UP_UTILISATION = 0.15;
+    private static final double WARM_UP_SURGE_FACTOR = 3;
+    private static final double WARM_UP_GREATEST_REQUESTS_PER_SECOND = 200;
     private static final double ADDED_LATENCY_REQUESTS_PER_SECOND = 200;
     private static final int ROLL_OUT_ATTEMPTS = 150;
     private static final long ROLL_OUT_MILLISECONDS = 200;
@@ -111,7 +112,11 @@
     }
 
     private void warmUp() {
-        if (settings.scenario() == Scenario.IDLE || settings.warmUpMilliseconds() == 0) {
+        if (settings.warmUpMilliseconds() == 0) {
+            return;
+        }
+        if (settings.scenario() == Scenario.IDLE) {
+            sleep(settings.warmUpMilliseconds());
             return;
         }
         LoadResult result =
@@ -122,7 +127,7 @@
                                 warmUpRequestsPerSecond(),
                                 settings.warmUpMilliseconds(),
                                 settings.seed() + WARM_UP_SEED,
-                                LoadShape.STEADY));
+                                warmUpShape()));
         output.record(
                 LogEvent.named("measure_warm_up")
                         .with("sent", result.total().sent())
@@ -131,6 +136,12 @@
                         .with("p99_ms", result.total().p99Milliseconds()));
     }
 
+    /** Gives cold backend servers little work first. */
+    private LoadShape warmUpShape() {
+        double milliseconds = (double) settings.warmUpMilliseconds();
+        return new LoadShape(WARM_UP_SURGE_FACTOR, milliseconds / 2, milliseconds, List.of());
+    }
+
     private double warmUpRequestsPerSecond() {
         return Math.min(
                 settings.requestsPerSecond(WARM_UP_UTILISATION),
--- a/stand-in/src/main/java/org/siskinramp/standin/measurement/report/Page.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/measurement/report/Page.java
@@ -100,7 +100,10 @@
                         + first.text("seconds")
                         + " s of Poisson load after a warm-up. Callers do not wait for answers, and"
                         + " a latency runs from when its request was to be sent. Latencies are of"
-                        + " answered requests only; served_weighted counts all. Each figure is the"
+                        + " answered requests only; served_weighted counts all: an answer that comes"
+                        + " once and in time counts with the weight of its kind. Peer bytes are what"
+                        + " entry hosts send to each other, without what they exchange with the"
+                        + " platform; processor time is that of the entry hosts alone. Each figure is the"
                         + " median of the repeats, with the least and the greatest in brackets.");
         line("");
     }
