--- a/library/src/main/java/org/siskinramp/membership/Claims.java
+++ b/library/src/main/java/org/siskinramp/membership/Claims.java
@@ -23,6 +23,7 @@
     private final Set<SlotKey> noted = new HashSet<>();
     private final Map<SlotKey, Long> offers = new HashMap<>();
     private Claim unborn = new Claim(Long.MAX_VALUE);
+    private long heldRevision;
 
     Claims(MembershipOptions options, TimeLimits limits) {
         this.options = options;
@@ -37,6 +38,7 @@
             Hold hold = former.get(slot);
             if (hold != null && hold.resumable() && hold.isWithin(shortest(slot), now)) {
                 held.add(slot);
+                heldRevision++;
             } else {
                 open.put(slot, claim);
             }
@@ -48,6 +50,7 @@
         open.clear();
         held.forEach(slot -> former.put(slot, new Hold(heldUntil, heard, true, false)));
         held.clear();
+        heldRevision++;
         unborn = new Claim(Long.MAX_VALUE);
         forgetNoted(Set.of());
     }
@@ -58,6 +61,7 @@
         for (SlotKey slot : Set.copyOf(held)) {
             if (!owned.contains(slot)) {
                 held.remove(slot);
+                heldRevision++;
                 former.put(slot, new Hold(heldUntil, heard, false, false));
             }
         }
@@ -105,17 +109,24 @@
     /** Notes that a peer acts on the same versions as this host. */
     void align(String peer, long echoedMilliseconds, long now) {
         unborn.align(peer, echoedMilliseconds, now);
+        if (open.isEmpty()) {
+            return;
+        }
         new HashSet<>(open.values()).forEach(claim -> claim.align(peer, echoedMilliseconds, now));
     }
 
     /** Takes the claimed slots whose waiting time is over. */
     void acquire(Function<Claim, OptionalLong> clearance, long now) {
+        if (open.isEmpty()) {
+            return;
+        }
         Map<Claim, OptionalLong> clear = new HashMap<>();
         for (Map.Entry<SlotKey, Claim> entry : Map.copyOf(open).entrySet()) {
             OptionalLong since = clear.computeIfAbsent(entry.getValue(), clearance);
             if (since.isPresent() && isFree(entry.getKey(), since.getAsLong(), now)) {
                 open.remove(entry.getKey());
                 held.add(entry.getKey());
+                heldRevision++;
                 noted.remove(entry.getKey());
             }
         }
@@ -148,6 +159,11 @@
         return held;
     }
 
+    /** Returns a number that rises with each change of the held slots. */
+    long heldRevision() {
+        return heldRevision;
+    }
+
     private boolean isFree(SlotKey slot, long clearSince, long now) {
         if (!options.has(Safeguard.TIME_LIMIT_WAIT) || now >= clearSince + waitMilliseconds(slot)) {
             return true;
--- a/library/src/main/java/org/siskinramp/membership/Majority.java
+++ b/library/src/main/java/org/siskinramp/membership/Majority.java
@@ -1,5 +1,6 @@
 package org.siskinramp.membership;
 
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.function.ToLongFunction;
 
@@ -21,7 +22,12 @@
         if (members.isEmpty()) {
             return NEVER;
         }
-        long[] times = members.stream().mapToLong(agreesUntil).sorted().toArray();
+        long[] times = new long[members.size()];
+        int position = 0;
+        for (String member : members) {
+            times[position++] = agreesUntil.applyAsLong(member);
+        }
+        Arrays.sort(times);
         int needed = times.length / 2 + 1;
         return times[times.length - needed];
     }
--- a/library/src/main/java/org/siskinramp/membership/Members.java
+++ b/library/src/main/java/org/siskinramp/membership/Members.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -18,6 +19,8 @@
     private final Map<String, Long> absentSince = new HashMap<>();
     private MembershipView view = MembershipView.NONE;
     private Set<String> names = Set.of();
+    private Set<String> all = Set.of();
+    private Set<String> peers = Set.of();
     private long appliedAt;
     private long listedAt;
     private boolean settled = true;
@@ -35,6 +38,18 @@
         appliedAt = now;
         settledAt = now;
         settled = newer.previousMembers().isEmpty() || !options.has(Safeguard.JOINT_MAJORITY);
+        collect();
+    }
+
+    private void collect() {
+        Set<String> counted = new LinkedHashSet<>(names);
+        if (!settled) {
+            counted.addAll(view.previousMembers());
+        }
+        all = Collections.unmodifiableSet(counted);
+        Set<String> others = new LinkedHashSet<>(counted);
+        others.remove(self);
+        peers = Collections.unmodifiableSet(others);
     }
 
     /** Notes which hosts the platform lists. */
@@ -60,6 +75,7 @@
         if (2 * left > view.previousMembers().size()) {
             settled = true;
             settledAt = now;
+            collect();
         }
     }
 
@@ -98,16 +114,10 @@
 
     /** Returns all hosts that count: the members, and the former ones until the view is settled. */
     Set<String> all() {
-        Set<String> all = new LinkedHashSet<>(names);
-        if (!settled) {
-            all.addAll(view.previousMembers());
-        }
         return all;
     }
 
     Set<String> peers() {
-        Set<String> peers = all();
-        peers.remove(self);
         return peers;
     }
 
--- a/library/src/main/java/org/siskinramp/membership/Membership.java
+++ b/library/src/main/java/org/siskinramp/membership/Membership.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.locks.ReentrantLock;
@@ -40,6 +39,7 @@
 public final class Membership implements SlotReleases, SlotRights {
 
     private static final long NEVER = Long.MIN_VALUE / 4;
+    private static final long RELEASE_DELAY_MILLISECONDS = 5;
 
     private final String self;
     private final String incarnation;
@@ -48,6 +48,7 @@
     private final Scheduler scheduler;
     private final PeerSender sender;
     private final EventLog eventLog;
+    private final Violations violations;
     private final Supplier<HeartbeatContribution> contribution;
     private final Consumer<SlotHoldings> holdingsListener;
     private final LongConsumer newerViewListener;
@@ -56,8 +57,11 @@
     private final ReentrantLock lock = new ReentrantLock();
     private final MembershipTable table;
     private final SignOff signOff = new SignOff();
+    private final ReleaseBatch releases = new ReleaseBatch();
     private final List<Runnable> effects = new ArrayList<>();
     private long heartbeatDueAt = NEVER;
+    private boolean releasesDue;
+    private long publishedRevision;
     private volatile SlotMap slotMap = SlotMap.EMPTY;
     private volatile Rights rights = new Rights(SlotHoldings.NONE, NEVER);
 
@@ -69,6 +73,7 @@
         scheduler = builder.scheduler();
         sender = builder.sender();
         eventLog = builder.eventLog();
+        violations = new Violations(builder.counters(), eventLog);
         contribution = builder.contribution();
         holdingsListener = builder.holdingsListener();
         newerViewListener = builder.newerViewListener();
@@ -106,8 +111,16 @@
 
     /** Lets rights end and begin as time passes, and sends heartbeats when they are due. */
     public void tick() {
-        HeartbeatContribution added = contribution.get();
-        update(now -> sendHeartbeatsIfDue(added, now));
+        if (locked(() -> isHeartbeatDue(clock.monotonicMilliseconds()))) {
+            HeartbeatContribution added = contribution.get();
+            update(now -> sendHeartbeats(added, now));
+        } else {
+            update(now -> {});
+        }
+    }
+
+    private boolean isHeartbeatDue(long now) {
+        return now >= heartbeatDueAt;
     }
 
     /**
@@ -154,6 +167,10 @@
     public void receive(String host, Heartbeat heartbeat) {
         update(
                 now -> {
+                    if (table.fallsBack(host, heartbeat)) {
+                        violations.report("a peer's versions fell", host);
+                        return;
+                    }
                     table.receive(host, heartbeat, now);
                     if (heartbeat.viewVersion() > table.members().view().version()) {
                         effects.add(() -> newerViewListener.accept(heartbeat.viewVersion()));
@@ -199,7 +216,7 @@
 
     @Override
     public void released(SlotKey slot) {
-        update(now -> table.release(slot).ifPresent(hold -> offer(slot, hold)));
+        update(now -> table.release(slot).ifPresent(hold -> collect(slot, hold)));
     }
 
     /**
@@ -305,9 +322,16 @@
     }
 
     private void publish() {
+        long revision = table.holdingsRevision();
         SlotHoldings before = rights.holdings();
-        SlotHoldings after = table.holdings();
+        SlotHoldings after = publishedRevision == revision ? before : table.holdings();
+        if (!after.isNotOlderThan(before)) {
+            violations.report("own versions fell", self);
+            rights = new Rights(before, NEVER);
+            return;
+        }
         boolean isSame = before.equals(after);
+        publishedRevision = revision;
         slotMap = table.slotMap();
         rights = new Rights(isSame ? before : after, table.usableUntil());
         if (!isSame) {
@@ -322,10 +346,7 @@
         }
     }
 
-    private void sendHeartbeatsIfDue(HeartbeatContribution added, long now) {
-        if (now < heartbeatDueAt) {
-            return;
-        }
+    private void sendHeartbeats(HeartbeatContribution added, long now) {
         heartbeatDueAt = now + options.heartbeatIntervalMilliseconds();
         for (String peer : table.members().peers()) {
             send(peer, table.heartbeat(peer, added, now));
@@ -341,7 +362,16 @@
         }
     }
 
-    private void offer(SlotKey slot, Hold hold) {
+    /** Sends what was collected. Until then more slots of the same change may become idle. */
+    private void sendReleases(long now) {
+        releasesDue = false;
+        releases.drain(incarnation, table.holdings(), this::send);
+        if (table.isStopping()) {
+            sendSignOff();
+        }
+    }
+
+    private void collect(SlotKey slot, Hold hold) {
         Optional<String> owner = table.otherOwner(slot).filter(hold.heard()::containsKey);
         if (owner.isEmpty()) {
             return;
@@ -349,30 +379,20 @@
         Acknowledgement heard = hold.heard().get(owner.get());
         if (table.isStopping()) {
             signOff.add(slot, owner.get(), heard);
-            sendSignOff();
         } else {
-            send(owner.get(), release(slot, heard));
+            releases.add(slot, owner.get(), heard);
+        }
+        if (!releasesDue) {
+            releasesDue = true;
+            effects.add(this::scheduleReleases);
         }
     }
 
-    private SlotRelease release(SlotKey slot, Acknowledgement heard) {
-        return new SlotRelease(
-                table.members().view().version(),
-                table.configuration().version(),
-                false,
-                List.of(SignOff.released(slot)),
-                incarnation,
-                List.of(heard));
+    private void scheduleReleases() {
+        scheduler.schedule(RELEASE_DELAY_MILLISECONDS, () -> update(this::sendReleases));
     }
 
     private void send(String peer, PeerMessage message) {
         effects.add(() -> sender.send(peer, message));
     }
-
-    private record Rights(SlotHoldings holdings, long usableUntil) {
-
-        private Rights {
-            Objects.requireNonNull(holdings, "holdings");
-        }
-    }
 }
--- a/library/src/main/java/org/siskinramp/membership/MembershipBuilder.java
+++ b/library/src/main/java/org/siskinramp/membership/MembershipBuilder.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
+import org.siskinramp.log.Counters;
 import org.siskinramp.log.EventLog;
 import org.siskinramp.peer.PeerSender;
 import org.siskinramp.slot.SlotHoldings;
@@ -20,6 +21,7 @@
     private Scheduler scheduler;
     private PeerSender sender;
     private EventLog eventLog = event -> {};
+    private Counters counters = (counter, amount) -> {};
     private Supplier<HeartbeatContribution> contribution = () -> HeartbeatContribution.NONE;
     private Consumer<SlotHoldings> holdingsListener = holdings -> {};
     private LongConsumer newerViewListener = version -> {};
@@ -85,6 +87,17 @@
         return this;
     }
 
+    /**
+     * Sets where violations of invariants are counted.
+     *
+     * @param newCounters the counters
+     * @return this builder
+     */
+    public MembershipBuilder counters(Counters newCounters) {
+        counters = newCounters;
+        return this;
+    }
+
     /**
      * Sets what the routing adds to heartbeats. It is called outside the membership's lock.
      *
@@ -170,6 +183,10 @@
         return eventLog;
     }
 
+    Counters counters() {
+        return counters;
+    }
+
     Supplier<HeartbeatContribution> contribution() {
         return contribution;
     }
--- a/library/src/main/java/org/siskinramp/membership/MembershipOptions.java
+++ b/library/src/main/java/org/siskinramp/membership/MembershipOptions.java
@@ -9,17 +9,19 @@
     private static final long HEARTBEAT_INTERVAL_MILLISECONDS = 500;
     private static final long LEASE_TERM_MILLISECONDS = 2_000;
     private static final long TICK_INTERVAL_MILLISECONDS = 50;
-    private static final long CONFIGURATION_GRACE_MILLISECONDS = 1_500;
+    private static final long CONFIGURATION_GRACE_MILLISECONDS = 500;
     private static final long LIST_ABSENCE_MILLISECONDS = 30_000;
     private static final long CLOCK_MARGIN_MILLISECONDS = 250;
 
     private final long heartbeatIntervalMilliseconds;
     private final long leaseTermMilliseconds;
+    private final long configurationGraceMilliseconds;
     private final Set<Safeguard> safeguards;
 
     private MembershipOptions(Builder builder) {
         heartbeatIntervalMilliseconds = builder.heartbeatIntervalMilliseconds;
         leaseTermMilliseconds = builder.leaseTermMilliseconds;
+        configurationGraceMilliseconds = builder.configurationGraceMilliseconds;
         safeguards = EnumSet.copyOf(builder.safeguards);
     }
 
@@ -67,8 +69,15 @@
         return TICK_INTERVAL_MILLISECONDS;
     }
 
-    long configurationGraceMilliseconds() {
-        return CONFIGURATION_GRACE_MILLISECONDS;
+    /**
+     * Returns how long after it applied a configuration a member still acknowledges hosts that act
+     * on an older one. A host that cannot learn the configuration loses its authority within this
+     * time and a lease term after a majority applied it.
+     *
+     * @return milliseconds
+     */
+    public long configurationGraceMilliseconds() {
+        return configurationGraceMilliseconds;
     }
 
     long listAbsenceMilliseconds() {
@@ -88,6 +97,7 @@
 
         private long heartbeatIntervalMilliseconds = HEARTBEAT_INTERVAL_MILLISECONDS;
         private long leaseTermMilliseconds = LEASE_TERM_MILLISECONDS;
+        private long configurationGraceMilliseconds = CONFIGURATION_GRACE_MILLISECONDS;
         private final EnumSet<Safeguard> safeguards = EnumSet.allOf(Safeguard.class);
 
         private Builder() {}
@@ -114,6 +124,17 @@
             return this;
         }
 
+        /**
+         * Sets how long hosts with an older configuration are still acknowledged.
+         *
+         * @param milliseconds the time in milliseconds, one or more
+         * @return this builder
+         */
+        public Builder configurationGraceMilliseconds(long milliseconds) {
+            configurationGraceMilliseconds = positive(milliseconds);
+            return this;
+        }
+
         Builder without(Safeguard safeguard) {
             safeguards.remove(safeguard);
             return this;
--- a/library/src/main/java/org/siskinramp/membership/MembershipTable.java
+++ b/library/src/main/java/org/siskinramp/membership/MembershipTable.java
@@ -23,6 +23,7 @@
 final class MembershipTable {
 
     private static final long NEVER = Long.MIN_VALUE / 4;
+    private static final long PEER_MEMORY_MILLISECONDS = 600_000;
 
     private final String self;
     private final String incarnation;
@@ -40,6 +41,7 @@
     private boolean holding;
     private boolean stopping;
     private long usableUntil = NEVER;
+    private long holdingsRevision;
 
     MembershipTable(String self, String incarnation, MembershipOptions options, long startedAt) {
         this.self = self;
@@ -72,7 +74,7 @@
             watch(now);
         }
         authority.extend(authorityEnd(now), now);
-        suspicions.forEach((host, suspicion) -> suspicion.extend(suspicionEnd(host), now));
+        extendSuspicions(now);
         reconcile(now, now);
         if (holding) {
             claims.acquire(claim -> clearance(claim), now);
@@ -85,6 +87,7 @@
         if (view.version() <= members.view().version()) {
             return;
         }
+        holdingsRevision++;
         boolean isNext = view.version() == members.view().version() + 1;
         members.apply(view, now);
         watch(now);
@@ -99,6 +102,7 @@
         if (configuration.version() <= configurations.configuration().version()) {
             return;
         }
+        holdingsRevision++;
         Set<String> newServers = new HashSet<>();
         for (BackendServer server : configuration.backendServers()) {
             if (!limits.isKnown(server.name())) {
@@ -120,6 +124,12 @@
         members.applyList(listed, now);
     }
 
+    /** Tells whether a heartbeat breaks the rule that the versions of an incarnation only rise. */
+    boolean fallsBack(String host, Heartbeat heartbeat) {
+        PeerState peer = peers.get(host);
+        return peer != null && peer.fallsBack(heartbeat);
+    }
+
     void receive(String host, Heartbeat heartbeat, long now) {
         PeerState peer = peers.computeIfAbsent(host, any -> new PeerState());
         if (!peer.isNews(heartbeat, leaseTerm(), now)) {
@@ -180,6 +190,11 @@
                 members.view().version());
     }
 
+    /** Returns a number that changes whenever the holdings may have changed. */
+    long holdingsRevision() {
+        return holdingsRevision + claims.heldRevision();
+    }
+
     /** Returns until when the holdings may be used if nothing new is heard. */
     long usableUntil() {
         return usableUntil;
@@ -218,10 +233,15 @@
 
     private void watch(long now) {
         promises.watch(members.peers(), now);
+        peers.entrySet().removeIf(peer -> isForgettable(peer.getKey(), peer.getValue(), now));
         suspicions.keySet().retainAll(members.peers());
         members.peers().forEach(host -> suspicions.computeIfAbsent(host, any -> new Span()));
     }
 
+    private boolean isForgettable(String host, PeerState peer, long now) {
+        return !members.all().contains(host) && now - peer.heardAt() > PEER_MEMORY_MILLISECONDS;
+    }
+
     private boolean isAligned(PeerState peer) {
         return peer.viewVersion() == members.view().version()
                 && peer.configurationVersion() == configurations.configuration().version();
@@ -240,6 +260,18 @@
         return peer == null ? NEVER : peer.echoedMilliseconds() + leaseTerm();
     }
 
+    /** Counts the votes only against hosts that some member suspects. */
+    private void extendSuspicions(long now) {
+        Set<String> suspected = new HashSet<>(promises.suspected());
+        for (PeerState peer : peers.values()) {
+            peer.addSuspectedTo(suspected);
+        }
+        suspicions.forEach(
+                (host, suspicion) ->
+                        suspicion.extend(
+                                suspected.contains(host) ? suspicionEnd(host) : NEVER, now));
+    }
+
     private long suspicionEnd(String suspect) {
         return members.majorityUntil(
                 host ->
@@ -284,6 +316,9 @@
         } else if (active && changed) {
             claims.claim(owned, now);
         }
+        if (holding != active) {
+            holdingsRevision++;
+        }
         holding = active;
     }
 
--- a/library/src/main/java/org/siskinramp/membership/Ownership.java
+++ b/library/src/main/java/org/siskinramp/membership/Ownership.java
@@ -23,7 +23,7 @@
 
     void apply(Configuration configuration, MembershipView view) {
         map =
-                SlotMap.of(
+                map.next(
                         configuration,
                         view.members().stream()
                                 .map(
--- a/library/src/main/java/org/siskinramp/membership/PeerState.java
+++ b/library/src/main/java/org/siskinramp/membership/PeerState.java
@@ -41,6 +41,14 @@
                 || now >= heardAt + leaseTermMilliseconds;
     }
 
+    /** Tells whether a later heartbeat of the same incarnation has lower versions. */
+    boolean fallsBack(Heartbeat heartbeat) {
+        return heartbeat.incarnation().equals(incarnation)
+                && heartbeat.sentMilliseconds() > sentMilliseconds
+                && (heartbeat.viewVersion() < viewVersion
+                        || heartbeat.configurationVersion() < configurationVersion);
+    }
+
     /**
      * Takes over a heartbeat that is news.
      *
@@ -108,6 +116,13 @@
         return echoedMilliseconds;
     }
 
+    /** Adds the hosts that the peer suspected when it was last heard. */
+    void addSuspectedTo(Set<String> hosts) {
+        if (!suspectsUntil.isEmpty()) {
+            hosts.addAll(suspectsUntil.keySet());
+        }
+    }
+
     /** Returns until when the peer's suspicion of a host counts, or a time long past. */
     long suspectsUntil(String host) {
         return suspectsUntil.getOrDefault(host, NEVER);
--- a/library/src/main/java/org/siskinramp/membership/package-info.java
+++ b/library/src/main/java/org/siskinramp/membership/package-info.java
@@ -29,8 +29,12 @@
  * contained for 30 s counts as stopped.
  *
  * <p><b>Configurations.</b> A member acknowledges a host with an older configuration only for a
- * grace period after it applied a newer one. A host that cannot learn a configuration therefore
- * loses authority no later than the grace period plus a lease term after a majority applied it.
+ * grace period after it applied a newer one. The bound: once a majority of the view has applied a
+ * configuration, a host that does not learn it gets its last acknowledgement before the grace
+ * period ends, for a heartbeat sent before then, and so loses authority no later than the grace
+ * period plus a lease term (0.5 s + 2 s) after the moment at which the majority was complete. The
+ * versions of a view and of a configuration that a host acts on never fall; a heartbeat that says
+ * otherwise is counted as a violation and ignored.
  *
  * <p><b>Locks.</b> Each {@link org.siskinramp.membership.Membership} has one lock. It ranks before
  * the routing's locks; messages are sent and listeners are called outside of it.
--- a/library/src/main/java/org/siskinramp/slot/SlotHoldings.java
+++ b/library/src/main/java/org/siskinramp/slot/SlotHoldings.java
@@ -28,4 +28,15 @@
     public SlotHoldings {
         slots = Set.copyOf(slots);
     }
+
+    /**
+     * Compares the versions. They never fall while a host runs.
+     *
+     * @param earlier holdings that were decided before
+     * @return false if a version is lower than the earlier one
+     */
+    public boolean isNotOlderThan(SlotHoldings earlier) {
+        return configurationVersion >= earlier.configurationVersion
+                && viewVersion >= earlier.viewVersion;
+    }
 }
--- a/library/src/main/java/org/siskinramp/slot/SlotMap.java
+++ b/library/src/main/java/org/siskinramp/slot/SlotMap.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,15 +29,20 @@
 public final class SlotMap {
 
     /** The map without slots. */
-    public static final SlotMap EMPTY = new SlotMap(List.of(), Map.of());
+    public static final SlotMap EMPTY = new SlotMap(List.of(), Map.of(), Map.of());
 
     private static final LongHashFunction HASH = LongHashFunction.xx();
 
     private final List<Candidate> candidates;
+    private final Map<String, ServiceHomes> services;
     private final Map<SlotKey, String> homes;
 
-    private SlotMap(List<Candidate> candidates, Map<SlotKey, String> homes) {
+    private SlotMap(
+            List<Candidate> candidates,
+            Map<String, ServiceHomes> services,
+            Map<SlotKey, String> homes) {
         this.candidates = candidates;
+        this.services = services;
         this.homes = homes;
     }
 
@@ -56,17 +62,34 @@
      * @return the map
      */
     public static SlotMap of(Configuration configuration, Collection<Candidate> candidates) {
-        if (candidates.isEmpty()) {
+        return EMPTY.next(configuration, candidates);
+    }
+
+    /**
+     * Computes the map for other inputs. It equals that of {@link #of}, but the homes of a service
+     * whose slots and entry hosts are the same as in this map are taken over from it.
+     *
+     * @param configuration the services and backend servers
+     * @param newCandidates the entry hosts, in any order
+     * @return the map
+     */
+    public SlotMap next(Configuration configuration, Collection<Candidate> newCandidates) {
+        if (newCandidates.isEmpty()) {
             return EMPTY;
         }
-        List<Candidate> sorted = new ArrayList<>(candidates);
+        List<Candidate> sorted = new ArrayList<>(newCandidates);
         sorted.sort(Comparator.comparing(Candidate::host));
-        Map<SlotKey, String> homes = new LinkedHashMap<>();
+        Map<String, ServiceHomes> known = sorted.equals(candidates) ? services : Map.of();
+        Map<String, ServiceHomes> nextServices = new HashMap<>();
+        Map<SlotKey, String> nextHomes = new LinkedHashMap<>();
         for (Service service : configuration.services()) {
             List<BackendServer> servers = configuration.backendServersOf(service.name());
-            homes.putAll(new ServiceAssignment(service.name(), servers, sorted).assign());
+            ServiceHomes next =
+                    ServiceHomes.of(service.name(), servers, sorted, known.get(service.name()));
+            nextServices.put(service.name(), next);
+            nextHomes.putAll(next.homes());
         }
-        return new SlotMap(List.copyOf(sorted), homes);
+        return new SlotMap(List.copyOf(sorted), nextServices, nextHomes);
     }
 
     /**
@@ -119,5 +142,30 @@
         return HASH.hashChars(text);
     }
 
+    /** Keeps the homes of one service next to what they were computed from. */
+    private record ServiceHomes(List<ServerSlots> servers, Map<SlotKey, String> homes) {
+
+        private static ServiceHomes of(
+                String service,
+                List<BackendServer> servers,
+                List<Candidate> candidates,
+                ServiceHomes known) {
+            List<ServerSlots> slots = servers.stream().map(ServerSlots::of).toList();
+            if (known != null && known.servers.equals(slots)) {
+                return known;
+            }
+            return new ServiceHomes(
+                    slots, new ServiceAssignment(service, servers, candidates).assign());
+        }
+    }
+
+    /** Holds the part of a backend server that the homes of its slots depend on. */
+    private record ServerSlots(String name, String availabilityZone, int slots) {
+
+        private static ServerSlots of(BackendServer server) {
+            return new ServerSlots(server.name(), server.availabilityZone(), server.slots());
+        }
+    }
+
     private record Ranked(String host, long weight) {}
 }
--- a/library/src/test/java/org/siskinramp/membership/Deployment.java
+++ b/library/src/test/java/org/siskinramp/membership/Deployment.java
@@ -2,19 +2,27 @@
 
 import java.lang.reflect.Proxy;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import org.siskinramp.configuration.BackendServer;
 import org.siskinramp.configuration.Configuration;
 import org.siskinramp.configuration.Service;
 import org.siskinramp.configuration.ServiceState;
 import org.siskinramp.peer.PeerMessage;
+import org.siskinramp.platform.FakePlatform;
+import org.siskinramp.platform.FakePlatform.Fault;
+import org.siskinramp.platform.ListedHost;
 import org.siskinramp.platform.Platform;
+import org.siskinramp.result.ResultCode;
+import org.siskinramp.result.ResultException;
 import org.siskinramp.slot.SlotKey;
+import org.siskinramp.time.VirtualTime;
 
 /** Runs entry hosts in virtual time and checks that no slot is in use by two of them. */
 final class Deployment {
@@ -26,7 +34,8 @@
             new TreeMap<>(Map.of("fast", 700L, "portal", 3_000L, "slow", 8_000L));
 
     private final VirtualTime time = new VirtualTime();
-    private final FakePlatform platform = new FakePlatform();
+    private final FakePlatform platform = new FakePlatform(time);
+    private final Map<String, ListedHost> listed = new TreeMap<>();
     private final Random random;
     private final MembershipOptions options;
     private final Map<String, SimulatedHost> hosts = new TreeMap<>();
@@ -37,6 +46,7 @@
     private final List<SlotKey> slots = new ArrayList<>();
     private Configuration configuration = Configuration.empty();
     private double disorder;
+    private boolean storeDown;
     private int startCount;
 
     Deployment(long seed, MembershipOptions options) {
@@ -49,8 +59,9 @@
                 }
             }
         }
-        time.after(0, this::sample);
-        time.after(0, this::spreadConfiguration);
+        platform.setLatencyMilliseconds(1);
+        time.schedule(0, this::sample);
+        time.schedule(0, this::spreadConfiguration);
     }
 
     static String availabilityZone(String host) {
@@ -58,7 +69,7 @@
     }
 
     void start(String host) {
-        platform.list(host, availabilityZone(host));
+        list(host);
         SimulatedHost started =
                 new SimulatedHost(
                         host,
@@ -76,7 +87,27 @@
     }
 
     private static long timeLimit(SlotKey slot) {
-        return TIME_LIMITS.get(slot.backendServer().split("-", 2)[0]);
+        String server = slot.backendServer();
+        return TIME_LIMITS.get(server.substring(0, server.indexOf('-')));
+    }
+
+    void list(String host) {
+        listed.put(host, new ListedHost(host, availabilityZone(host), "127.0.0.1:1", false));
+        platform.setHosts(List.copyOf(listed.values()));
+    }
+
+    void unlist(String host) {
+        listed.remove(host);
+        platform.setHosts(List.copyOf(listed.values()));
+    }
+
+    void storeDown(boolean isDown) {
+        storeDown = isDown;
+        platform.setDown(isDown);
+    }
+
+    void storeLosesAnswers(boolean isLosing) {
+        platform.failOtherWrites(() -> isLosing ? Fault.ANSWER_LOST : Fault.NONE);
     }
 
     void kill(String host) {
@@ -115,7 +146,7 @@
     }
 
     private void spreadConfiguration() {
-        time.after(100, this::spreadConfiguration);
+        time.schedule(100, this::spreadConfiguration);
         for (SimulatedHost host : hosts.values()) {
             if (random.nextInt(10) == 0) {
                 readConfiguration(host);
@@ -130,14 +161,19 @@
                         new Class<?>[] {Platform.class},
                         (proxy, method, arguments) ->
                                 storeCuts.contains(host)
-                                        ? FakePlatform.unavailable()
+                                        ? unavailable()
                                         : method.invoke(platform, arguments));
     }
 
+    private static CompletableFuture<Object> unavailable() {
+        return CompletableFuture.failedFuture(
+                new ResultException(ResultCode.PLATFORM_UNAVAILABLE, "cut off"));
+    }
+
     private void readConfiguration(SimulatedHost host) {
         Configuration newest = configuration;
-        if (platform.isAvailable() && !storeCuts.contains(host.name())) {
-            time.after(random.nextInt(100), () -> host.applyConfiguration(newest));
+        if (!storeDown && !storeCuts.contains(host.name())) {
+            time.schedule(random.nextInt(100), () -> host.applyConfiguration(newest));
         }
     }
 
@@ -149,7 +185,7 @@
         for (int copy = 0; copy < copies; copy++) {
             boolean late = random.nextDouble() < disorder / 4;
             long delay = 1L + random.nextInt(late ? 6_000 : 5);
-            time.after(delay, () -> deliver(from, to, message));
+            time.schedule(delay, () -> deliver(from, to, message));
         }
     }
 
@@ -161,17 +197,21 @@
     }
 
     private void sample() {
-        time.after(SAMPLE_MILLISECONDS, this::sample);
-        incarnations.removeIf(host -> host.isDead() && slots.stream().noneMatch(host::isBusy));
-        for (SlotKey slot : slots) {
-            incarnations.forEach(host -> host.use(slot));
-            List<String> busy =
-                    incarnations.stream()
-                            .filter(host -> host.isBusy(slot))
-                            .map(SimulatedHost::name)
-                            .toList();
-            if (busy.size() > 1) {
-                violations.add(time.now() + " " + slot + " " + busy);
+        time.schedule(SAMPLE_MILLISECONDS, this::sample);
+        incarnations.removeIf(host -> host.isDead() && host.busySlots().isEmpty());
+        incarnations.forEach(SimulatedHost::useHoldings);
+        for (SimulatedHost host : incarnations) {
+            if (!host.hasRisingVersions()) {
+                violations.add(now() + " versions fell on " + host.name());
+            }
+        }
+        Map<SlotKey, String> users = new HashMap<>();
+        for (SimulatedHost host : incarnations) {
+            for (SlotKey slot : host.busySlots()) {
+                String other = users.put(slot, host.name());
+                if (other != null) {
+                    violations.add(now() + " " + slot + " " + other + " " + host.name());
+                }
             }
         }
     }
@@ -194,7 +234,7 @@
     }
 
     void runFor(long milliseconds) {
-        time.runUntil(time.now() + milliseconds);
+        time.advance(milliseconds);
     }
 
     void cut(String from, String to) {
@@ -209,18 +249,14 @@
         cuts.clear();
         storeCuts.clear();
         disorder = 0;
-        platform.available(true);
-        platform.losingAnswers(false);
+        storeDown(false);
+        storeLosesAnswers(false);
     }
 
     void disorder(double share) {
         disorder = share;
     }
 
-    FakePlatform platform() {
-        return platform;
-    }
-
     SimulatedHost host(String name) {
         return hosts.get(name);
     }
@@ -230,7 +266,7 @@
     }
 
     long now() {
-        return time.now();
+        return time.monotonicMilliseconds();
     }
 
     List<String> violations() {
--- a/library/src/test/java/org/siskinramp/membership/Faults.java
+++ b/library/src/test/java/org/siskinramp/membership/Faults.java
@@ -37,14 +37,10 @@
 
     private void recover() {
         deployment.heal();
-        deployment.hostNames().forEach(this::list);
+        deployment.hostNames().forEach(deployment::list);
         deployment.runFor(RECOVERY_MILLISECONDS);
     }
 
-    private void list(String host) {
-        deployment.platform().list(host, Deployment.availabilityZone(host));
-    }
-
     private void disturb() {
         List<String> hosts = deployment.hostNames();
         String host = hosts.get(random.nextInt(hosts.size()));
@@ -59,8 +55,8 @@
                     deployment.host(host).pauseUntil(deployment.now() + random.nextInt(12_000));
             case 8 -> replace(host, host);
             case 9 -> replace(host, "entry-" + started++);
-            case 10 -> deployment.platform().available(random.nextBoolean());
-            case 11 -> deployment.platform().losingAnswers(random.nextBoolean());
+            case 10 -> deployment.storeDown(random.nextBoolean());
+            case 11 -> deployment.storeLosesAnswers(random.nextBoolean());
             case 12 -> deployment.start("entry-" + started++);
             case 13 -> remove(host, hosts.size());
             case 14 -> deployment.disorder(random.nextDouble());
@@ -74,14 +70,14 @@
 
     private void replace(String host, String successor) {
         deployment.kill(host);
-        deployment.platform().unlist(host);
+        deployment.unlist(host);
         deployment.start(successor);
     }
 
     private void remove(String host, int hosts) {
         if (hosts > 3) {
             deployment.kill(host);
-            deployment.platform().unlist(host);
+            deployment.unlist(host);
         }
     }
 
--- a/library/src/test/java/org/siskinramp/membership/SafeguardTest.java
+++ b/library/src/test/java/org/siskinramp/membership/SafeguardTest.java
@@ -42,7 +42,7 @@
         Deployment deployment = threeHosts(1, options);
         for (String host : List.of("entry-2", "entry-3")) {
             deployment.cutFromStore(host);
-            deployment.platform().unlist(host);
+            deployment.unlist(host);
         }
         List.of("entry-4", "entry-5", "entry-6", "entry-7").forEach(deployment::start);
         deployment.runFor(25_000);
--- a/library/src/test/java/org/siskinramp/membership/SimulatedHost.java
+++ b/library/src/test/java/org/siskinramp/membership/SimulatedHost.java
@@ -1,9 +1,11 @@
 package org.siskinramp.membership;
 
+import java.lang.reflect.Proxy;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.ToLongFunction;
 import org.apache.commons.rng.simple.RandomSource;
@@ -16,6 +18,7 @@
 import org.siskinramp.slot.SlotHoldings;
 import org.siskinramp.slot.SlotKey;
 import org.siskinramp.time.Clock;
+import org.siskinramp.time.VirtualTime;
 
 /** Runs one incarnation of an entry host, which works in each slot as long as it may. */
 final class SimulatedHost implements Clock {
@@ -30,6 +33,8 @@
     private final ViewFollower follower;
     private final Set<SlotKey> listed = new HashSet<>();
     private final Map<SlotKey, Long> busyUntil = new HashMap<>();
+    private SlotHoldings sampled = SlotHoldings.NONE;
+    private long violations;
     private long pausedUntil;
     private boolean dead;
 
@@ -55,6 +60,7 @@
                         .clock(this)
                         .scheduler(this::schedule)
                         .sender(sender)
+                        .counters((counter, amount) -> violations += amount)
                         .holdingsListener(this::applyHoldings)
                         .newerViewListener(version -> hint(version))
                         .newerConfigurationListener(version -> configurationReader.accept(this))
@@ -63,13 +69,38 @@
                 new ViewFollower(
                         name,
                         membership,
-                        platform,
+                        answeringInHost(platform),
                         this,
                         this::schedule,
                         RandomSource.SPLIT_MIX_64.create(seed),
                         event -> {});
     }
 
+    /** Lets the answers of the platform arrive in this host: late if paused, never if dead. */
+    private Platform answeringInHost(Platform platform) {
+        return (Platform)
+                Proxy.newProxyInstance(
+                        Platform.class.getClassLoader(),
+                        new Class<?>[] {Platform.class},
+                        (proxy, method, arguments) ->
+                                inHost((CompletableFuture<?>) method.invoke(platform, arguments)));
+    }
+
+    private <T> CompletableFuture<T> inHost(CompletableFuture<T> answer) {
+        CompletableFuture<T> arrived = new CompletableFuture<>();
+        CompletableFuture<T> unused =
+                answer.whenComplete((value, failure) -> run(() -> finish(arrived, value, failure)));
+        return arrived;
+    }
+
+    private static <T> void finish(CompletableFuture<T> future, T value, Throwable failure) {
+        if (failure == null) {
+            future.complete(value);
+        } else {
+            future.completeExceptionally(failure);
+        }
+    }
+
     void start() {
         membership.start();
         follower.start();
@@ -81,25 +112,25 @@
 
     @Override
     public long monotonicMilliseconds() {
-        return offset + (long) (time.now() * speed);
+        return offset + (long) (time.monotonicMilliseconds() * speed);
     }
 
     @Override
     public long calendarMilliseconds() {
-        return time.now();
+        return time.monotonicMilliseconds();
     }
 
     /** Runs a task of this host, after its pause if it is paused and never if it is dead. */
     void schedule(long delayMilliseconds, Runnable task) {
-        time.after(delayMilliseconds, () -> run(task));
+        time.schedule(delayMilliseconds, () -> run(task));
     }
 
     private void run(Runnable task) {
         if (dead) {
             return;
         }
-        if (time.now() < pausedUntil) {
-            time.after(pausedUntil - time.now(), () -> run(task));
+        if (time.monotonicMilliseconds() < pausedUntil) {
+            time.schedule(pausedUntil - time.monotonicMilliseconds(), () -> run(task));
         } else {
             task.run();
         }
@@ -135,7 +166,7 @@
     }
 
     private void reportWhenIdle(SlotKey slot) {
-        long left = busyUntil.getOrDefault(slot, 0L) - time.now();
+        long left = busyUntil.getOrDefault(slot, 0L) - time.monotonicMilliseconds();
         if (left <= 0) {
             schedule(1, () -> membership.released(slot));
         } else {
@@ -143,17 +174,32 @@
         }
     }
 
-    /** Starts a request that takes the whole time limit, if the slot may be used now. */
-    boolean use(SlotKey slot) {
-        if (dead || time.now() < pausedUntil || !membership.isUsable(slot)) {
-            return false;
+    /** Starts a request that takes the whole time limit in each slot that may be used now. */
+    void useHoldings() {
+        long now = time.monotonicMilliseconds();
+        if (dead || now < pausedUntil) {
+            return;
+        }
+        for (SlotKey slot : membership.holdings().slots()) {
+            if (membership.isUsable(slot)) {
+                busyUntil.put(slot, now + timeLimit.applyAsLong(slot));
+            }
         }
-        busyUntil.put(slot, time.now() + timeLimit.applyAsLong(slot));
-        return true;
     }
 
-    boolean isBusy(SlotKey slot) {
-        return busyUntil.getOrDefault(slot, 0L) > time.now();
+    /** Tells whether the versions never fell, in the holdings and by the host's own count. */
+    boolean hasRisingVersions() {
+        SlotHoldings holdings = membership.holdings();
+        boolean isRising = violations == 0 && holdings.isNotOlderThan(sampled);
+        sampled = holdings;
+        return isRising;
+    }
+
+    /** Returns the slots with a request in progress. */
+    Set<SlotKey> busySlots() {
+        long now = time.monotonicMilliseconds();
+        busyUntil.values().removeIf(end -> end <= now);
+        return busyUntil.keySet();
     }
 
     void pauseUntil(long end) {
--- a/library/src/test/java/org/siskinramp/slot/SlotMapTest.java
+++ b/library/src/test/java/org/siskinramp/slot/SlotMapTest.java
@@ -52,6 +52,18 @@
                 .count();
     }
 
+    @Test
+    void aMapThatTakesHomesOverEqualsOneThatIsComputedAnew() {
+        SlotMap taken = SlotMap.of(portal(5, ServiceState.IN), hosts(4));
+        for (int step = 1; step <= 12; step++) {
+            Configuration configuration = portal(4 + step / 3, ServiceState.OUT);
+            taken = taken.next(configuration, hosts(4 + step / 5));
+            SlotMap anew = SlotMap.of(configuration, hosts(4 + step / 5));
+            assertEquals(anew.slots(), taken.slots());
+            assertEquals(0, moved(anew, taken));
+        }
+    }
+
     @Test
     void hostsAndAvailabilityZonesShareSlotsEvenlyToOne() {
         for (int servers = 1; servers <= 30; servers++) {
