--- a/library/src/main/java/org/siskinramp/host/EntryHost.java
+++ b/library/src/main/java/org/siskinramp/host/EntryHost.java
@@ -1,5 +1,6 @@
 package org.siskinramp.host;
 
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.siskinramp.configuration.Configuration;
@@ -24,6 +25,7 @@
 import org.siskinramp.routing.RequestRun;
 import org.siskinramp.routing.ServiceRouter;
 import org.siskinramp.routing.ServiceRouters;
+import org.siskinramp.routing.ServiceWork;
 import org.siskinramp.slot.SlotHoldings;
 import org.siskinramp.ticket.ConfigurationFollower;
 import org.siskinramp.ticket.Tickets;
@@ -291,6 +293,15 @@
         return requestsInProgress.get();
     }
 
+    /**
+     * Counts the claims of non-idempotent requests that are open or whose end is not durable.
+     *
+     * @return the unsettled claims, zero once this host may stop
+     */
+    public int unsettledClaims() {
+        return ledger.unsettled();
+    }
+
     /**
      * Returns the configuration that this host acts on.
      *
@@ -327,6 +338,24 @@
         return membership.holdings();
     }
 
+    /**
+     * Describes the work of each service.
+     *
+     * @return the work in the order of the services' names
+     */
+    public List<ServiceWork> work() {
+        return routers.work();
+    }
+
+    /**
+     * Counts the backend servers whose warmth this host judges.
+     *
+     * @return the judged servers
+     */
+    public int judgedServers() {
+        return routers.judgedServers().size();
+    }
+
     /**
      * Counts the requests that wait for a slot.
      *
--- a/stand-in/src/test/java/org/siskinramp/standin/caller/CallerLoadTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/caller/CallerLoadTest.java
@@ -74,10 +74,10 @@
                         7,
                         10_000,
                         resendShare,
-                        1000);
+                        1000,
+                        LoadShape.STEADY);
         try (CallerLoad load = new CallerLoad(settings, new SystemClock(), scheduler)) {
-            List<LoadReport> reports = load.run().join();
-            return reports.get(reports.size() - 1);
+            return load.run().join().total();
         }
     }
 
