Run clusters of real processes in tests

Cause: nothing tested the whole path with real processes.

Ruled out: one cluster for all scenarios, since a fault of one would show in the next; fixed ports, since several suites run on one machine.

Change: a fixture starts the platform behind a fault proxy, six backend servers in three availability zones and three entry hosts, each on ports that the system gives out, files a ticket and waits until all slots are held. Features describe what callers and operators see; the judges of the backend servers decide.

--- /dev/null
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/Cluster.java
@@ -0,0 +1,224 @@
+package org.siskinramp.standin.cluster;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.siskinramp.standin.Main;
+import org.siskinramp.standin.TestClient;
+import org.siskinramp.standin.http.Json;
+import org.siskinramp.standin.proxy.FaultProxy;
+import org.siskinramp.time.SystemClock;
+
+/** Runs a platform, backend servers and entry hosts, each in processes of their own. */
+final class Cluster implements AutoCloseable {
+
+    static final int SLOTS_OF_ALL_SERVERS = 24;
+
+    private static final List<String> SERVICES = List.of("schedule-consent", "dispatch");
+    private static final int ZONES = 3;
+    private static final long IN_FORCE_SECONDS = 20;
+    private static final long SLOTS_SECONDS = 30;
+    private static final List<String> SERVER_OPTIONS =
+            List.of("--slots", "4", "--work-ms", "10", "--cold-slots", "1");
+    private static final String WARM_AFTER = "20";
+
+    private final Path directory;
+    private final Map<String, ProgramProcess> processes = new LinkedHashMap<>();
+    private final Map<String, RunningHost> hosts = new LinkedHashMap<>();
+    private final Map<String, String> serverAddresses = new LinkedHashMap<>();
+    private final Map<String, FaultProxy> serverProxies = new LinkedHashMap<>();
+    private FaultProxy platformProxy;
+
+    Cluster(Path directory) {
+        this.directory = directory;
+    }
+
+    /** Starts everything; what has started is ended by {@link #close}, also after a failure. */
+    void start() {
+        ProgramProcess platform = startStandIn("platform", List.of("platform"));
+        platformProxy = proxyTo(platform.await("listening", "address"));
+        startServers();
+        for (int number = 1; number <= ZONES; number++) {
+            String name = "entry-" + number;
+            hosts.put(
+                    name,
+                    RunningHost.start(
+                            name, directory, "almaty-" + number, platformProxy.address()));
+        }
+        hosts.values().forEach(this::list);
+        hosts.values().forEach(RunningHost::awaitAuthority);
+    }
+
+    private static FaultProxy proxyTo(String target) {
+        return FaultProxy.start("127.0.0.1:0", target, "127.0.0.1:0", new SystemClock());
+    }
+
+    private ProgramProcess startStandIn(String name, List<String> arguments) {
+        ProgramProcess process =
+                ProgramProcess.start(directory.resolve(name + ".log"), Main.class, arguments);
+        processes.put(name, process);
+        return process;
+    }
+
+    private void startServers() {
+        List<String> names = new ArrayList<>();
+        for (String service : SERVICES) {
+            for (int zone = 1; zone <= ZONES; zone++) {
+                names.add(service + "-" + zone);
+            }
+        }
+        String alone = names.remove(0);
+        startServer(alone, "127.0.0.1:0");
+        List<String> arguments =
+                new ArrayList<>(List.of("backend-servers", "--names", String.join(",", names)));
+        arguments.addAll(SERVER_OPTIONS);
+        arguments.addAll(List.of("--warm-after-requests", WARM_AFTER));
+        String addresses = startStandIn("servers", arguments).await("listening", "address");
+        String[] all = addresses.split(",", -1);
+        for (int index = 0; index < names.size(); index++) {
+            addServer(names.get(index), all[index]);
+        }
+    }
+
+    private void addServer(String name, String address) {
+        serverAddresses.put(name, address);
+        serverProxies.put(name, proxyTo(address));
+    }
+
+    private void startServer(String name, String address) {
+        List<String> arguments =
+                new ArrayList<>(List.of("backend-server", "--name", name, "--address", address));
+        arguments.addAll(SERVER_OPTIONS);
+        arguments.addAll(List.of("--warm-after-requests", WARM_AFTER));
+        addServer(name, startStandIn(name, arguments).await("listening", "address"));
+    }
+
+    /** Kills a backend server that has a process of its own and starts it anew. */
+    void restartServer(String name) {
+        String address = serverAddresses.get(name);
+        processes.get(name).kill();
+        Waiting.milliseconds(500);
+        startServer(name, address);
+    }
+
+    private void list(RunningHost host) {
+        String entry =
+                """
+                {"name": "%s", "availability_zone": "%s", "peer_address": "%s", "leaving": false}
+                """
+                        .formatted(host.name(), host.availabilityZone(), host.peerAddress());
+        new TestClient(platformProxy.address())
+                .send("PUT", "/v1/hosts/" + host.name(), entry)
+                .join();
+    }
+
+    RunningHost host(String name) {
+        return hosts.get(name);
+    }
+
+    List<RunningHost> hosts() {
+        return List.copyOf(hosts.values());
+    }
+
+    /** Asks a host to stop, starts it anew and waits until it is ready. */
+    void restartHost(String name) {
+        RunningHost host = hosts.get(name);
+        host.process().terminate();
+        RunningHost again = host.startAgain();
+        hosts.put(name, again);
+        again.awaitReady();
+    }
+
+    List<String> serverAddresses() {
+        return List.copyOf(serverAddresses.values());
+    }
+
+    JsonNode judge(String server) {
+        String body = new TestClient(serverAddresses.get(server)).get("/-/judge").body();
+        return Json.read(body.getBytes(StandardCharsets.UTF_8), JsonNode.class);
+    }
+
+    long sumOverServers(String count) {
+        return serverAddresses.keySet().stream()
+                .mapToLong(server -> judge(server).get(count).asLong())
+                .sum();
+    }
+
+    /** Counts how often a request began to run, on all backend servers. */
+    int runsOf(String caller, String requestId) {
+        String path = "/-/judge/runs?caller=" + caller + "&request_id=" + requestId;
+        int runs = 0;
+        for (String address : serverAddresses.values()) {
+            String body = new TestClient(address).get(path).body();
+            runs +=
+                    Json.read(body.getBytes(StandardCharsets.UTF_8), JsonNode.class)
+                            .get("runs")
+                            .asInt();
+        }
+        return runs;
+    }
+
+    void commandServers(String faults) {
+        serverAddresses.values().forEach(address -> post(address, faults));
+    }
+
+    void silenceServerConnections() {
+        serverProxies
+                .values()
+                .forEach(proxy -> post(proxy.controlAddress(), "{\"silence_existing\": true}"));
+    }
+
+    void cutPlatform(boolean cut) {
+        post(platformProxy.controlAddress(), "{\"cut\": " + cut + "}");
+    }
+
+    private static void post(String address, String faults) {
+        int status = new TestClient(address).post("/-/faults", faults).statusCode();
+        if (status != 200) {
+            throw new AssertionError(faults + " " + status);
+        }
+    }
+
+    /** Files the first ticket, with all services, and waits until it is in force everywhere. */
+    void describe(boolean throughProxies) {
+        Map<String, String> addresses = new LinkedHashMap<>(serverAddresses);
+        if (throughProxies) {
+            serverProxies.forEach((name, proxy) -> addresses.put(name, proxy.address()));
+        }
+        String body =
+                hosts().get(0)
+                        .command("POST", "/v1/tickets", TicketTexts.whole(addresses))
+                        .join()
+                        .body();
+        Waiting.until(
+                IN_FORCE_SECONDS, () -> "ticket 1 in force: " + body, () -> isInForceEverywhere(1));
+        hosts.values().forEach(RunningHost::awaitReady);
+        Waiting.until(
+                SLOTS_SECONDS,
+                () -> "all slots held, but " + heldSlots(),
+                () -> heldSlots() == SLOTS_OF_ALL_SERVERS);
+    }
+
+    private int heldSlots() {
+        return hosts.values().stream().mapToInt(RunningHost::heldSlots).sum();
+    }
+
+    boolean isInForceEverywhere(int ticket) {
+        JsonNode detail = hosts().get(0).query("/v1/tickets/" + ticket);
+        return detail.get("in_force_hosts").size() == hosts.size();
+    }
+
+    @Override
+    public void close() {
+        hosts.values().forEach(RunningHost::close);
+        processes.values().forEach(ProgramProcess::close);
+        serverProxies.values().forEach(FaultProxy::close);
+        if (platformProxy != null) {
+            platformProxy.close();
+        }
+    }
+}
--- /dev/null
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/ClusterSteps.java
@@ -0,0 +1,331 @@
+package org.siskinramp.standin.cluster;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.cucumber.java.After;
+import io.cucumber.java.Before;
+import io.cucumber.java.Scenario;
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.siskinramp.standin.TestClient;
+import org.siskinramp.standin.caller.LoadReport;
+import org.siskinramp.standin.caller.LoadResult;
+
+/** Gives the features their meaning. */
+public final class ClusterSteps {
+
+    private static final String ORDERS = "/dispatch/orders";
+    private static final String CALLER = "crew-7";
+    private static final long PROPAGATION_MILLISECONDS = 3000;
+    private static final long MACHINE_NOISE_MILLISECONDS = 1000;
+    private static final long TAKE_OVER_SECONDS = 30;
+
+    private final Callers callers = new Callers();
+    private Path directory;
+    private Cluster cluster;
+    private CompletableFuture<LoadResult> load;
+    private HttpResponse<String> answer;
+    private long commandedAtMilliseconds;
+    private final List<HttpResponse<String>> answers = new ArrayList<>();
+    private final List<String> acceptedContents = new ArrayList<>();
+
+    /** Chooses where the processes write. */
+    @Before
+    public void prepare(Scenario scenario) {
+        String name = scenario.getName().replaceAll("[^A-Za-z0-9]+", "-");
+        directory =
+                Path.of("target", "cluster", name + "-" + System.currentTimeMillis())
+                        .toAbsolutePath();
+    }
+
+    /** Ends every process that the scenario started. */
+    @After
+    public void stop() {
+        callers.close();
+        if (cluster != null) {
+            cluster.close();
+        }
+    }
+
+    @Given("3 entry hosts and 6 backend servers in 3 availability zones")
+    public void startCluster() {
+        cluster = new Cluster(directory);
+        cluster.start();
+        cluster.describe(false);
+    }
+
+    @Given("3 entry hosts that reach 6 backend servers over a network that loses track")
+    public void startClusterBehindProxies() {
+        cluster = new Cluster(directory);
+        cluster.start();
+        cluster.describe(true);
+    }
+
+    @When("callers send {int} requests of every kind, {int} a second")
+    public void sendEveryKind(int requests, int rate) {
+        load = callers.sendEveryKind(cluster, targets(), requests, rate);
+    }
+
+    @When("callers send {int} reads, {int} a second")
+    public void sendReads(int requests, int rate) {
+        load = callers.sendReads(cluster, targets(), requests, rate);
+    }
+
+    @When("{int} milliseconds pass")
+    public void pass(int milliseconds) {
+        Waiting.milliseconds(milliseconds);
+    }
+
+    @When("all answers are in")
+    public void awaitLoad() {
+        load.join();
+    }
+
+    @Then("every request was answered once")
+    public void everyRequestWasAnsweredOnce() {
+        assertEquals(total().sent(), total().answeredOnce(), summary());
+    }
+
+    @Then("at least {int} of them were answered")
+    public void atLeastAnswered(int requests) {
+        assertTrue(total().answeredOnce() >= requests, summary());
+    }
+
+    @Then("no request was cut")
+    public void noRequestWasCut() {
+        assertEquals(0, total().unknown() + total().failed(), summary());
+    }
+
+    @Then("no request ran twice, was crossed or falsely refused as not run")
+    public void noRequestWasHarmed() {
+        assertEquals(0, total().judge().doubled(), summary());
+        assertEquals(0, total().crossed(), summary());
+        assertEquals(0, total().judge().falselyNotRun(), summary());
+        assertEquals(0, total().judge().answeredWithoutRun(), summary());
+    }
+
+    @Then("no backend server was pushed past what it bears")
+    public void noServerWasOverloaded() {
+        assertEquals(0, cluster.sumOverServers("over_limit"), summary());
+        assertEquals(0, cluster.sumOverServers("cold_overload"), summary());
+    }
+
+    @When("order {word} is sent to {word}")
+    public void sendOrder(String requestId, String host) {
+        sendOrderWith(requestId, "close valve 9", host);
+    }
+
+    @When("order {word} with {string} is sent to {word}")
+    public void sendOrderWith(String requestId, String content, String host) {
+        answer =
+                new TestClient(cluster.host(host).callerAddress())
+                        .post(
+                                ORDERS,
+                                content,
+                                "Caller",
+                                CALLER,
+                                "Request-Id",
+                                requestId,
+                                "Request-Deadline",
+                                "2000");
+        answers.add(answer);
+    }
+
+    @Then("the result code is {word}")
+    public void theResultCodeIs(String code) {
+        assertEquals(code, resultCode(answer), () -> answer.headers().map() + answer.body());
+    }
+
+    @Then("the answer promises that it did not run and says when to come back")
+    public void theAnswerPromisesNotRun() {
+        assertEquals("true", answer.headers().firstValue("Not-Run").orElse(""));
+        assertTrue(answer.headers().firstValue("Retry-After").isPresent(), answer.body());
+    }
+
+    @Then("both answers are the same")
+    public void bothAnswersAreTheSame() {
+        assertEquals(2, answers.size());
+        assertEquals(answers.get(0).body(), answers.get(1).body());
+    }
+
+    @Then("order {word} ran {int} time(s)")
+    public void orderRan(String requestId, int times) {
+        assertEquals(times, cluster.runsOf(CALLER, requestId));
+    }
+
+    @When("{word} is killed")
+    public void kill(String host) {
+        cluster.host(host).process().kill();
+    }
+
+    @When("{word} is paused for {int} milliseconds")
+    public void pause(String host, int milliseconds) {
+        cluster.host(host).process().pause();
+        Waiting.milliseconds(milliseconds);
+        cluster.host(host).process().resume();
+    }
+
+    @Then("{word} and {word} hold all slots")
+    public void holdAllSlots(String first, String second) {
+        Waiting.until(
+                TAKE_OVER_SECONDS,
+                () -> "all slots held, but " + heldSlots(first) + "+" + heldSlots(second),
+                () -> heldSlots(first) + heldSlots(second) == Cluster.SLOTS_OF_ALL_SERVERS);
+    }
+
+    private int heldSlots(String host) {
+        return cluster.host(host).heldSlots();
+    }
+
+    @When("{word} stops as planned while requests are in progress")
+    public void stopAsPlanned(String host) {
+        assertEquals(0, cluster.host(host).process().terminate());
+    }
+
+    @When("operators take availability zone {word} {word}")
+    public void changeAvailabilityZone(String name, String state) {
+        String path = "/v1/availability-zones/" + name + "/" + state;
+        commandedAtMilliseconds = System.currentTimeMillis();
+        answer = cluster.host("entry-1").command("POST", path, "").join();
+        assertEquals(200, answer.statusCode(), answer.body());
+    }
+
+    @Then("{word} received its last new work within 3 seconds")
+    public void receivedLastWorkInTime(String server) {
+        long late = lastNewWork(server) - commandedAtMilliseconds;
+        assertTrue(
+                late <= PROPAGATION_MILLISECONDS + MACHINE_NOISE_MILLISECONDS,
+                () -> server + " received new work " + late + " ms after the command");
+        assertTrue(lastNewWork(server) > 0, server + " never received work");
+    }
+
+    @Then("{word} received new work again")
+    public void receivedNewWork(String server) {
+        assertTrue(lastNewWork(server) > commandedAtMilliseconds, server);
+    }
+
+    private long lastNewWork(String server) {
+        return cluster.judge(server).get("last_new_work_at_ms").asLong();
+    }
+
+    @When("the platform is out")
+    public void cutPlatform() {
+        cluster.cutPlatform(true);
+    }
+
+    @When("the platform is back")
+    public void healPlatform() {
+        cluster.cutPlatform(false);
+    }
+
+    @When("ticket {int} is filed at {word}")
+    public void fileTicket(int number, String host) {
+        answer = file(number, 60, host).join();
+    }
+
+    private CompletableFuture<HttpResponse<String>> file(int number, int queueLimit, String host) {
+        String content = TicketTexts.queueLimit(number, queueLimit);
+        return cluster.host(host).command("POST", "/v1/tickets", content);
+    }
+
+    @Then("the ticket is refused with result code {int}")
+    public void ticketIsRefused(int code) {
+        assertTrue(answer.body().contains("\"code\":" + code), answer.body());
+    }
+
+    @Then("the ticket is accepted")
+    public void ticketIsAccepted() {
+        assertEquals(200, answer.statusCode(), answer.body());
+    }
+
+    @Then("nothing was kept of ticket {int}")
+    public void nothingWasKept(int number) {
+        int status =
+                cluster.host("entry-1")
+                        .command("GET", "/v1/tickets/" + number, "")
+                        .join()
+                        .statusCode();
+        assertEquals(404, status);
+    }
+
+    @When("two operators race with conflicting tickets {int} to {int}")
+    public void raceTickets(int first, int last) {
+        for (int number = first; number <= last; number++) {
+            CompletableFuture<HttpResponse<String>> one = file(number, 100 + number, "entry-1");
+            CompletableFuture<HttpResponse<String>> other = file(number, 200 + number, "entry-2");
+            boolean firstWon = one.join().statusCode() == 200;
+            String both = one.join().body() + other.join().body();
+            assertEquals(firstWon ? 409 : 200, other.join().statusCode(), both);
+            assertEquals(firstWon ? 200 : 409, one.join().statusCode(), both);
+            acceptedContents.add(TicketTexts.queueLimit(number, (firstWon ? 100 : 200) + number));
+            commandedAtMilliseconds = System.currentTimeMillis();
+        }
+    }
+
+    @Then("ticket {int} is in force on all hosts within 3 seconds")
+    public void ticketIsInForce(int number) {
+        Waiting.until(
+                (PROPAGATION_MILLISECONDS + MACHINE_NOISE_MILLISECONDS) / 1000,
+                () -> "in force: ticket " + number,
+                () -> cluster.isInForceEverywhere(number));
+    }
+
+    @When("every host is restarted in turn")
+    public void restartHosts() {
+        cluster.hosts().forEach(host -> cluster.restartHost(host.name()));
+    }
+
+    @Then("every host shows the accepted tickets from {int} on")
+    public void showsTickets(int first) {
+        for (RunningHost host : cluster.hosts()) {
+            for (int index = 0; index < acceptedContents.size(); index++) {
+                JsonNode detail = host.query("/v1/tickets/" + (first + index));
+                assertEquals(acceptedContents.get(index), detail.get("content").asText());
+            }
+        }
+    }
+
+    @When("{word} is killed and starts anew")
+    public void restartServer(String server) {
+        cluster.restartServer(server);
+    }
+
+    @When("all open connections to backend servers go silent")
+    public void silence() {
+        cluster.silenceServerConnections();
+    }
+
+    @Given("{string} crashes the backend servers that run it")
+    public void crashOn(String content) {
+        cluster.commandServers("{\"crash_on_content\": \"" + content + "\"}");
+    }
+
+    @Then("backend servers crashed {int} times")
+    public void serversCrashed(int times) {
+        assertEquals(times, cluster.sumOverServers("crashes"));
+    }
+
+    private List<String> targets() {
+        return cluster.hosts().stream().map(RunningHost::callerAddress).toList();
+    }
+
+    private LoadReport total() {
+        return load.join().total();
+    }
+
+    private String summary() {
+        return directory + " " + total().toEvent().toLine();
+    }
+
+    private static String resultCode(HttpResponse<String> answer) {
+        return answer.headers().firstValue("Result-Code").orElse("");
+    }
+}
--- /dev/null
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/package-info.java
@@ -0,0 +1,2 @@
+/** Runs whole clusters of real processes and checks what callers and operators see. */
+package org.siskinramp.standin.cluster;
