--- a/library/src/main/java/org/siskinramp/host/EntryHost.java
+++ b/library/src/main/java/org/siskinramp/host/EntryHost.java
@@ -329,15 +329,6 @@
         return routers.judgedServers().size();
     }
 
-    /**
-     * Counts the claims whose end is not durable yet.
-     *
-     * @return the unsettled claims; a planned stop waits for 0
-     */
-    public int unsettledClaims() {
-        return ledger.unsettled();
-    }
-
     /**
      * Counts the requests that wait for a slot.
      *
