Spend less when idle, share the claim budget by hosts, and doubt a single probe

Change: (1) every 50 ms, since lingering slots and asks now schedule their own look; (2) a refused connection still closes at once, a probe without an answer only the third time in a row, probed every 250 ms in between; (3) 300 transactions/s divided by the members of the view, so 20 at 15 hosts and 100 at 3. Also: a broken connection makes the judge probe at once; with the slower tick the guilty request had stopped a third server before the second stop was proven (guiltyRequestIsQuarantinedAndBystandersAreNot: 3 instead of 2). ClaimLedgerTest asks for the same 31 commits at 15 hosts.

--- a/library/src/main/java/org/siskinramp/host/EntryHostOptions.java
+++ b/library/src/main/java/org/siskinramp/host/EntryHostOptions.java
@@ -21,7 +21,7 @@
         FollowerOptions follower,
         long tickIntervalMilliseconds) {
 
-    private static final long TICK_INTERVAL_MILLISECONDS = 5;
+    private static final long TICK_INTERVAL_MILLISECONDS = 50;
 
     /**
      * Returns the options used unless told otherwise.
--- a/library/src/main/java/org/siskinramp/host/EntryHostParts.java
+++ b/library/src/main/java/org/siskinramp/host/EntryHostParts.java
@@ -118,6 +118,7 @@
                 .counters(builder.counters())
                 .host(builder.identity().name(), builder.identity().incarnation())
                 .options(builder.options().ledger())
+                .hosts(() -> membership.view().members().size())
                 .build();
     }
 
--- a/library/src/main/java/org/siskinramp/ledger/ClaimLedger.java
+++ b/library/src/main/java/org/siskinramp/ledger/ClaimLedger.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.IntSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.siskinramp.ledger.ClaimTable.Entry;
 import org.siskinramp.ledger.ClaimTable.Seen;
@@ -63,6 +64,7 @@
                                 options.circuitIntervalMilliseconds()),
                         new WriteBudget(
                                 builder.clock,
+                                builder.hosts,
                                 options.transactionsPerSecond(),
                                 options.transactionBurst()));
         host = builder.host;
@@ -255,6 +257,7 @@
         private String host;
         private String incarnation;
         private LedgerOptions options = LedgerOptions.builder().build();
+        private IntSupplier hosts = () -> 1;
 
         private Builder() {}
 
@@ -324,6 +327,17 @@
             return this;
         }
 
+        /**
+         * Sets how many entry hosts share the budget of transactions.
+         *
+         * @param value gives the number of entry hosts
+         * @return this builder
+         */
+        public Builder hosts(IntSupplier value) {
+            hosts = value;
+            return this;
+        }
+
         /**
          * Sets the entry host and its incarnation, which together are never used twice.
          *
--- a/library/src/main/java/org/siskinramp/ledger/LedgerOptions.java
+++ b/library/src/main/java/org/siskinramp/ledger/LedgerOptions.java
@@ -4,7 +4,7 @@
  * Bounds what the claim ledger does.
  *
  * <pre>{@code
- * LedgerOptions options = LedgerOptions.builder().transactionsPerSecond(20).build();
+ * LedgerOptions options = LedgerOptions.builder().transactionsPerSecond(300).build();
  * }</pre>
  */
 public final class LedgerOptions {
@@ -100,7 +100,7 @@
         private int groupSize = 50;
         private long groupDelayMilliseconds = 3;
         private long outcomeDelayMilliseconds = 100;
-        private int transactionsPerSecond = 20;
+        private int transactionsPerSecond = 300;
         private int transactionBurst = 10;
         private long claimLimitMilliseconds = 1_000;
         private long callLimitMilliseconds = 500;
@@ -146,7 +146,8 @@
         }
 
         /**
-         * Sets how many transactions this host starts a second at most.
+         * Sets how many transactions all entry hosts together start a second at most. Each host
+         * takes an equal share.
          *
          * @param value one or more
          * @return this builder
--- a/library/src/main/java/org/siskinramp/routing/Dispatcher.java
+++ b/library/src/main/java/org/siskinramp/routing/Dispatcher.java
@@ -322,13 +322,12 @@
         if (attempt == null) {
             return;
         }
-        long now = state.now();
         RequestRun run = attempt.run();
         attempt.server().endRequest();
         if (failure.failure().isNotRun()) {
             attempt.slot().end();
         } else {
-            attempt.slot().linger(now + state.options().lingerMilliseconds());
+            linger(attempt.slot(), effects);
         }
         observer.failed(attempt, failure, effects);
         run.finish(
@@ -346,6 +345,12 @@
         }
     }
 
+    private void linger(Slot slot, Effects effects) {
+        long lasts = state.options().lingerMilliseconds();
+        slot.linger(state.now() + lasts);
+        effects.add(() -> state.environment().scheduler().schedule(lasts, listener::queueDue));
+    }
+
     private boolean retry(RequestRun run, Effects effects) {
         long now = state.now();
         boolean possible =
--- a/library/src/main/java/org/siskinramp/routing/LoanDesk.java
+++ b/library/src/main/java/org/siskinramp/routing/LoanDesk.java
@@ -25,6 +25,7 @@
 
     private final ServiceState state;
     private final MessageBudget budget;
+    private final Runnable queueDue;
     private final Map<String, Integer> sparesByHost = new TreeMap<>();
     private final Map<Long, Ask> asks = new LinkedHashMap<>();
     private final Map<Long, Slot> lent = new HashMap<>();
@@ -33,9 +34,10 @@
     private long askOpenUntil = Long.MIN_VALUE;
     private long waitingSince = Long.MAX_VALUE;
 
-    LoanDesk(ServiceState state, MessageBudget budget) {
+    LoanDesk(ServiceState state, MessageBudget budget, Runnable queueDue) {
         this.state = state;
         this.budget = budget;
+        this.queueDue = queueDue;
     }
 
     /**
@@ -97,7 +99,13 @@
                         slots,
                         state.environment().availabilityZone());
         state.environment().counters().add(Counter.LOAN_ASKS);
-        effects.add(() -> state.environment().peerSender().send(lender.get(), ask));
+        effects.add(
+                () -> {
+                    state.environment().peerSender().send(lender.get(), ask);
+                    state.environment()
+                            .scheduler()
+                            .schedule(state.options().loanAskTimeoutMilliseconds(), queueDue);
+                });
     }
 
     private Optional<String> chooseLender() {
--- a/library/src/main/java/org/siskinramp/routing/ServerObserver.java
+++ b/library/src/main/java/org/siskinramp/routing/ServerObserver.java
@@ -19,6 +19,8 @@
  */
 final class ServerObserver {
 
+    private static final int PROBE_FAILURES_BEFORE_CLOSING = 3;
+
     private final ServiceState state;
     private final WordSender words;
 
@@ -57,8 +59,9 @@
          *
          * @param backendServer the server
          * @param report the load report, or null if the probe failed
+         * @param failure the failure, or null
          */
-        void probed(String backendServer, LoadReport report);
+        void probed(String backendServer, LoadReport report, Throwable failure);
     }
 
     void answered(
@@ -106,6 +109,9 @@
                 }
                 recordFailure(server, now);
                 startCold(server, "broken", effects);
+                if (server.warmth().isJudge()) {
+                    probe(server, effects);
+                }
             }
             case TIMED_OUT -> {
                 server.health().recordSlow(now - attempt.startedAt());
@@ -250,7 +256,7 @@
             }
             if (server.warmth().isJudge() && server.takesNewWork()) {
                 long interval =
-                        server.warmth().isWarm()
+                        server.warmth().isWarm() && !server.hasProbeFailures()
                                 ? state.options().probeIntervalMilliseconds()
                                 : state.options().suspectProbeIntervalMilliseconds();
                 if (server.isProbeDue(now, interval)) {
@@ -272,14 +278,35 @@
                 state.environment()
                         .backendServerLink()
                         .probe(server)
-                        .whenComplete((report, failure) -> words.probed(name, report));
+                        .whenComplete((report, failure) -> words.probed(name, report, failure));
+    }
+
+    /**
+     * Takes the failure of a probe in. A refused connection closes the server at once; a probe that
+     * found no answer in time may be this host's own fault, so that only several in a row do.
+     *
+     * @param backendServer the server
+     * @param failure why the probe failed
+     * @param effects what happens outside the lock
+     */
+    void probeFailed(String backendServer, AttemptException failure, Effects effects) {
+        ServerState server = state.servers().get(backendServer);
+        if (server == null) {
+            return;
+        }
+        server.endProbe();
+        if (failure.failure() == AttemptFailure.CONNECTION_REFUSED) {
+            close(server, "probe_refused", effects);
+        } else if (server.countProbeFailure() >= PROBE_FAILURES_BEFORE_CLOSING) {
+            close(server, "probe_failed", effects);
+        }
     }
 
     /**
      * Takes the result of a probe in.
      *
      * @param backendServer the server
-     * @param report the load report, or null if the probe failed
+     * @param report the load report
      * @param effects what happens outside the lock
      */
     void probed(String backendServer, LoadReport report, Effects effects) {
@@ -288,8 +315,8 @@
             return;
         }
         server.endProbe();
-        if (report == null || report.leaving()) {
-            close(server, report == null ? "probe_failed" : "leaving", effects);
+        if (report.leaving()) {
+            close(server, "leaving", effects);
             return;
         }
         server.hear(report, state.now());
--- a/library/src/main/java/org/siskinramp/routing/ServerState.java
+++ b/library/src/main/java/org/siskinramp/routing/ServerState.java
@@ -23,6 +23,7 @@
     private long heardAt;
     private long probedAt;
     private boolean probing;
+    private int probeFailures;
     private long askedForWordAt = Long.MIN_VALUE / 2;
     private long namedUntil = Long.MIN_VALUE;
     private final List<BrokenRequest> brokenRequests = new ArrayList<>();
@@ -96,6 +97,7 @@
      */
     void hear(LoadReport report, long now) {
         heardAt = now;
+        probeFailures = 0;
         if (report.requestsInProgress() >= 0) {
             reportedLoad = report.requestsInProgress();
         }
@@ -112,6 +114,20 @@
         return !probing && now - Math.max(heardAt, probedAt) >= intervalMilliseconds;
     }
 
+    /**
+     * Counts a probe that found no answer in time.
+     *
+     * @return how many such probes there were since the server was last heard
+     */
+    int countProbeFailure() {
+        probeFailures++;
+        return probeFailures;
+    }
+
+    boolean hasProbeFailures() {
+        return probeFailures > 0;
+    }
+
     boolean isWordAskDue(long now) {
         return now - askedForWordAt >= WORD_ASK_INTERVAL_MILLISECONDS;
     }
--- a/library/src/main/java/org/siskinramp/routing/ServiceRouter.java
+++ b/library/src/main/java/org/siskinramp/routing/ServiceRouter.java
@@ -54,7 +54,7 @@
         this.state = new ServiceState(environment, options, service);
         this.observer = new ServerObserver(state, new Words(words));
         this.dispatcher = new Dispatcher(state, observer, new Listener());
-        this.loanDesk = new LoanDesk(state, loanMessages);
+        this.loanDesk = new LoanDesk(state, loanMessages, () -> locked(this::settle));
     }
 
     /**
@@ -125,7 +125,7 @@
                 });
     }
 
-    /** Does what is due: refusals, loans, probes. Call it every few milliseconds. */
+    /** Does what is due without another event: probes, missing words, loans that ran out. */
     public void tick() {
         locked(
                 effects -> {
@@ -406,10 +406,15 @@
         }
 
         @Override
-        public void probed(String backendServer, LoadReport report) {
+        public void probed(String backendServer, LoadReport report, Throwable failure) {
             locked(
                     effects -> {
-                        observer.probed(backendServer, report, effects);
+                        if (failure == null) {
+                            observer.probed(backendServer, report, effects);
+                        } else {
+                            observer.probeFailed(
+                                    backendServer, AttemptException.from(failure), effects);
+                        }
                         settle(effects);
                     });
         }
--- a/library/src/main/java/org/siskinramp/routing/ServiceRouters.java
+++ b/library/src/main/java/org/siskinramp/routing/ServiceRouters.java
@@ -90,7 +90,7 @@
                 (service, router) -> router.hold(byService.getOrDefault(service, Set.of())));
     }
 
-    /** Does what is due in every service. Call it every few milliseconds. */
+    /** Does what is due in every service without another event. */
     public void tick() {
         routers.values().forEach(ServiceRouter::tick);
     }
--- a/library/src/test/java/org/siskinramp/ledger/ClaimLedgerTest.java
+++ b/library/src/test/java/org/siskinramp/ledger/ClaimLedgerTest.java
@@ -46,6 +46,7 @@
                 .eventLog(event -> {})
                 .counters((counter, amount) -> {})
                 .host(host, "a")
+                .hosts(() -> 15)
                 .build();
     }
 
