--- a/library/src/main/java/org/siskinramp/host/EntryHost.java
+++ b/library/src/main/java/org/siskinramp/host/EntryHost.java
@@ -247,6 +247,15 @@
         return desk.inProgress();
     }
 
+    /**
+     * Counts the claims of non-idempotent requests that are open or whose end is not durable.
+     *
+     * @return the unsettled claims, zero once this host may stop
+     */
+    public int unsettledClaims() {
+        return ledger.unsettled();
+    }
+
     /**
      * Returns the end of the journal, which begins with {@link #stop}.
      *
