Say how far a promise of not run goes

Cause: a refusal before the claim (a full queue, the platform down) said Not-Run: true to a copy of a request whose first copy may have run through another host; the caller was told not run of a request that ran. Ruled out: reading the claim before every refusal, which doubles the reads just when the system is short, and tells nothing while the platform is down. Change: Not-Run: request only for a refusal after the claim was granted, which proves that no copy has run; Not-Run: copy for all others; the body says both.

--- a/daemon/src/main/java/org/siskinramp/daemon/caller/AnswerWriter.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/AnswerWriter.java
@@ -14,6 +14,8 @@
 
     private static final String RESULT_CODE = "Result-Code";
     private static final String NOT_RUN = "Not-Run";
+    private static final String NO_COPY_RAN = "request";
+    private static final String THIS_COPY_DID_NOT_RUN = "copy";
     private static final String RETRY_AFTER_MILLISECONDS = "Retry-After-Milliseconds";
 
     private AnswerWriter() {}
@@ -38,7 +40,7 @@
             headers.put(RequestHeadReader.REQUEST_ID, requestId);
         }
         if (refusal.code().isNotRun()) {
-            headers.put(NOT_RUN, "true");
+            headers.put(NOT_RUN, refusal.isNotRunInAnyCopy() ? NO_COPY_RAN : THIS_COPY_DID_NOT_RUN);
         }
         refusal.retryAfterMilliseconds()
                 .ifPresent(milliseconds -> putRetryAfter(headers, milliseconds));
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/RefusalBody.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/RefusalBody.java
@@ -9,7 +9,13 @@
 
 /** Holds the JSON body that goes with a result other than an answer. */
 @JsonInclude(JsonInclude.Include.NON_NULL)
-record RefusalBody(int code, String name, String message, boolean notRun, String requestId) {
+record RefusalBody(
+        int code,
+        String name,
+        String message,
+        boolean notRun,
+        boolean copyNotRun,
+        String requestId) {
 
     private static final ObjectMapper MAPPER =
             JsonMapper.builder()
@@ -21,6 +27,7 @@
                 refusal.code().number(),
                 refusal.code().name(),
                 refusal.getMessage(),
+                refusal.isNotRunInAnyCopy(),
                 refusal.code().isNotRun(),
                 requestId);
     }
--- a/library/src/main/java/org/siskinramp/host/RequestDesk.java
+++ b/library/src/main/java/org/siskinramp/host/RequestDesk.java
@@ -115,7 +115,12 @@
         trace.setClaim(claim);
         CompletableFuture<Answer> answer = run(trace, router);
         Futures.whenDone(answer, (whole, failure) -> settle(claim, whole, failure));
-        return answer;
+        return answer.exceptionally(RequestDesk::ofEveryCopy);
+    }
+
+    /** A claim is granted only if no other copy has run, so that its refusal speaks of them all. */
+    private static Answer ofEveryCopy(Throwable failure) {
+        throw ResultException.from(failure).ofEveryCopy();
     }
 
     private void settle(Claim claim, Answer answer, Throwable failure) {
--- a/library/src/main/java/org/siskinramp/result/ResultException.java
+++ b/library/src/main/java/org/siskinramp/result/ResultException.java
@@ -17,6 +17,7 @@
 
     private final ResultCode code;
     private final long retryAfterMilliseconds;
+    private final boolean everyCopy;
 
     /**
      * Creates a failure without advice on when to come back.
@@ -25,7 +26,7 @@
      * @param detail what a person needs to find the cause
      */
     public ResultException(ResultCode code, String detail) {
-        this(code, detail, NO_RETRY, null);
+        this(code, code.meaning() + ": " + detail, NO_RETRY, null, false);
     }
 
     /**
@@ -36,7 +37,7 @@
      * @param retryAfterMilliseconds when a retry makes sense, in milliseconds from now
      */
     public ResultException(ResultCode code, String detail, long retryAfterMilliseconds) {
-        this(code, detail, retryAfterMilliseconds, null);
+        this(code, code.meaning() + ": " + detail, retryAfterMilliseconds, null, false);
     }
 
     /**
@@ -47,14 +48,38 @@
      * @param cause the failure beneath
      */
     public ResultException(ResultCode code, String detail, Throwable cause) {
-        this(code, detail, NO_RETRY, cause);
+        this(code, code.meaning() + ": " + detail, NO_RETRY, cause, false);
     }
 
     private ResultException(
-            ResultCode code, String detail, long retryAfterMilliseconds, Throwable cause) {
-        super(code.meaning() + ": " + detail, cause, false, cause != null);
+            ResultCode code,
+            String message,
+            long retryAfterMilliseconds,
+            Throwable cause,
+            boolean everyCopy) {
+        super(message, cause, false, cause != null);
         this.code = code;
         this.retryAfterMilliseconds = retryAfterMilliseconds;
+        this.everyCopy = everyCopy;
+    }
+
+    /**
+     * Returns the same failure with the proof that no copy of the request has run, through any
+     * entry host. Without it a result that promises "not run" speaks of this copy alone.
+     *
+     * @return the failure of the request as a whole
+     */
+    public ResultException ofEveryCopy() {
+        return new ResultException(code, getMessage(), retryAfterMilliseconds, getCause(), true);
+    }
+
+    /**
+     * Tells whether no copy of the request has run, through any entry host.
+     *
+     * @return true if the request as a whole did not run
+     */
+    public boolean isNotRunInAnyCopy() {
+        return everyCopy && code.isNotRun();
     }
 
     /**
