--- a/library/src/main/java/org/siskinramp/routing/ServiceRouter.java
+++ b/library/src/main/java/org/siskinramp/routing/ServiceRouter.java
@@ -80,16 +80,18 @@
      * @return the refusal, or empty if the request would be sent or would wait
      */
     public Optional<ResultException> refusalOf(Request request) {
+        RequestRun run = new RequestRun(request);
         lock.lock();
         try {
             return dispatcher
-                    .refusalOf(new RequestRun(request))
+                    .admission()
+                    .refusalOf(run)
                     .map(
                             code ->
                                     new ResultException(
                                             code,
                                             "request=" + request.key(),
-                                            dispatcher.retryAfterMilliseconds()));
+                                            dispatcher.admission().retryAfterMilliseconds(run)));
         } finally {
             lock.unlock();
         }
@@ -212,7 +214,7 @@
     public void hearWords(List<ServerAllowance> explicit, List<String> implicit, long given) {
         locked(
                 effects -> {
-                    observer.hearWords(explicit, implicit, given);
+                    observer.hearWords(explicit, implicit, given, effects);
                     settle(effects);
                 });
     }
--- a/library/src/test/java/org/siskinramp/routing/FakeServers.java
+++ b/library/src/test/java/org/siskinramp/routing/FakeServers.java
@@ -1,5 +1,6 @@
 package org.siskinramp.routing;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -15,7 +16,7 @@
 import org.siskinramp.attempt.LoadReport;
 import org.siskinramp.configuration.BackendServer;
 import org.siskinramp.request.Answer;
-import org.siskinramp.request.Request;
+import org.siskinramp.request.RequestKey;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.time.VirtualTime;
 
@@ -30,6 +31,7 @@
     private final Map<String, Server> servers = new TreeMap<>();
     private final Map<Long, Running> running = new HashMap<>();
     private final Map<String, Integer> runs = new TreeMap<>();
+    private final Map<String, Integer> company = new TreeMap<>();
     private final List<String> overloads = new ArrayList<>();
     private int probes;
 
@@ -51,8 +53,13 @@
         return overloads;
     }
 
-    public int runsOf(Request request) {
-        return runs.getOrDefault(request.key().toString(), 0);
+    public int runsOf(RequestKey key) {
+        return runs.getOrDefault(key.toString(), 0);
+    }
+
+    /** Returns the most that any server had in progress while it ran a target, itself included. */
+    public int mostInProgressWith(String target) {
+        return company.getOrDefault(target, 0);
     }
 
     public int probes() {
@@ -94,6 +101,7 @@
         entry.boot = server.boot;
         server.inProgress++;
         server.lastNewWorkAt = time.monotonicMilliseconds();
+        noteCompany(server);
         runs.merge(entry.attempt.request().key().toString(), 1, Integer::sum);
         int bears = server.cold() ? server.coldSlots : server.slots;
         if (server.inProgress > bears) {
@@ -112,6 +120,14 @@
         time.schedule(work, () -> complete(entry));
     }
 
+    private void noteCompany(Server server) {
+        running.values().stream()
+                .filter(other -> other.server == server && other.boot == server.boot)
+                .filter(other -> !other.left)
+                .map(other -> other.attempt.request().target())
+                .forEach(target -> company.merge(target, server.inProgress, Math::max));
+    }
+
     private void complete(Running entry) {
         if (entry.server == null || entry.boot != entry.server.boot) {
             fail(entry, AttemptFailure.CONNECTION_BROKEN);
@@ -120,7 +136,8 @@
         leave(entry);
         entry.server.answers++;
         int status = entry.server.failsFast ? 500 : 200;
-        Answer answer = new Answer(ResultCode.ANSWERED, status, List.of(), new byte[0]);
+        byte[] body = entry.attempt.request().key().toString().getBytes(StandardCharsets.UTF_8);
+        Answer answer = new Answer(ResultCode.ANSWERED, status, List.of(), body);
         LoadReport report = entry.server.report();
         time.schedule(
                 DISTANCE_MILLISECONDS,
@@ -208,6 +225,10 @@
             return new LoadReport(name + "-" + boot, inProgress, leaving);
         }
 
+        public String name() {
+            return name;
+        }
+
         /** Makes the server cold until it has given some answers. */
         public Server bearsWhenCold(int requests, int answersUntilWarm) {
             coldSlots = requests;
--- a/stand-in/src/main/java/org/siskinramp/standin/Main.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/Main.java
@@ -15,7 +15,10 @@
 import org.siskinramp.standin.command.BackendServersCommand;
 import org.siskinramp.standin.command.CallersCommand;
 import org.siskinramp.standin.command.FaultProxyCommand;
+import org.siskinramp.standin.command.MeasureReportCommand;
+import org.siskinramp.standin.command.MeasureRunCommand;
 import org.siskinramp.standin.command.PlatformCommand;
+import org.siskinramp.standin.command.RandomisedCommand;
 import org.siskinramp.standin.command.StandInCommand;
 
 /** Starts the stand-in that the first argument names. */
@@ -32,7 +35,10 @@
                             "backend-server", BackendServerCommand::new,
                             "backend-servers", BackendServersCommand::new,
                             "callers", CallersCommand::new,
-                            "fault-proxy", FaultProxyCommand::new));
+                            "measure-run", MeasureRunCommand::new,
+                            "measure-report", MeasureReportCommand::new,
+                            "fault-proxy", FaultProxyCommand::new,
+                            "randomised", RandomisedCommand::new));
 
     private final PrintStream output;
     private final PrintStream errors;
