--- a/stand-in/src/test/resources/features/places.feature
+++ b/stand-in/src/test/resources/features/places.feature
@@ -15,6 +15,7 @@
     Then schedule-consent-2 received new work again
     And every request was answered once
     And no request ran twice, was crossed or falsely refused as not run
+    And every answer came from a run
     And no backend server was pushed past what it bears
 
   Scenario: the platform is out for a while
@@ -47,6 +48,7 @@
     Then no request was cut
     And at least 200 of them were answered
     And no request ran twice, was crossed or falsely refused as not run
+    And every answer came from a run
     And no backend server was pushed past what it bears
     And entry-1 and entry-3 hold all slots
 
