Measure how the parts grow, and work out what the target needs

Ruled out: timing whole processes here, which measures HTTP, not the slopes; single measurements of memory, which garbage of earlier sizes made negative (the median of five copies is reported instead).

--- a/library/src/main/java/org/siskinramp/configuration/Configuration.java
+++ b/library/src/main/java/org/siskinramp/configuration/Configuration.java
@@ -1,5 +1,6 @@
 package org.siskinramp.configuration;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
@@ -35,15 +36,14 @@
         this.availabilityZones = new TreeMap<>(availabilityZones);
         this.hosts = new TreeMap<>(hosts);
         this.backendServersByService = new TreeMap<>();
-        for (String service : services.keySet()) {
-            backendServersByService.put(
-                    service,
-                    backendServers.values().stream()
-                            .filter(server -> server.service().equals(service))
-                            .filter(server -> server.state() != ServiceState.REMOVED)
-                            .sorted(Comparator.comparing(BackendServer::name))
-                            .toList());
+        for (BackendServer server : this.backendServers.values()) {
+            if (server.state() != ServiceState.REMOVED && services.containsKey(server.service())) {
+                backendServersByService
+                        .computeIfAbsent(server.service(), name -> new ArrayList<>())
+                        .add(server);
+            }
         }
+        backendServersByService.replaceAll((service, servers) -> List.copyOf(servers));
     }
 
     /**
--- a/stand-in/src/main/java/org/siskinramp/standin/Main.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/Main.java
@@ -16,6 +16,7 @@
 import org.siskinramp.standin.command.CallersCommand;
 import org.siskinramp.standin.command.FaultProxyCommand;
 import org.siskinramp.standin.command.PlatformCommand;
+import org.siskinramp.standin.command.SlopesCommand;
 import org.siskinramp.standin.command.StandInCommand;
 
 /** Starts the stand-in that the first argument names. */
@@ -32,7 +33,8 @@
                             "backend-server", BackendServerCommand::new,
                             "backend-servers", BackendServersCommand::new,
                             "callers", CallersCommand::new,
-                            "fault-proxy", FaultProxyCommand::new));
+                            "fault-proxy", FaultProxyCommand::new,
+                            "slopes", SlopesCommand::new));
 
     private final PrintStream output;
     private final PrintStream errors;
--- /dev/null
+++ b/stand-in/src/main/java/org/siskinramp/standin/capacity/RoutingHost.java
@@ -0,0 +1,161 @@
+package org.siskinramp.standin.capacity;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.apache.commons.rng.simple.RandomSource;
+import org.siskinramp.attempt.Attempt;
+import org.siskinramp.attempt.AttemptAnswer;
+import org.siskinramp.attempt.BackendServerLink;
+import org.siskinramp.attempt.LoadReport;
+import org.siskinramp.configuration.BackendServer;
+import org.siskinramp.configuration.Configuration;
+import org.siskinramp.peer.ServerAllowance;
+import org.siskinramp.request.Answer;
+import org.siskinramp.request.Request;
+import org.siskinramp.request.RequestKey;
+import org.siskinramp.request.RequestKind;
+import org.siskinramp.result.ResultCode;
+import org.siskinramp.routing.MessageBudget;
+import org.siskinramp.routing.RequestSuspicion;
+import org.siskinramp.routing.RoutingEnvironment;
+import org.siskinramp.routing.RoutingOptions;
+import org.siskinramp.routing.ServiceRouter;
+import org.siskinramp.slot.SlotKey;
+import org.siskinramp.slot.SlotRights;
+
+/** Routes the requests of one service to backend servers that answer at once. */
+final class RoutingHost {
+
+    private static final long WARM_UP_MILLISECONDS = 1_000;
+    private static final long TICK_MILLISECONDS = 10;
+    private static final long SEED = 7;
+    private static final LoadReport REPORT = new LoadReport("boot-1", 0, false);
+
+    private final SteppedTime time = new SteppedTime();
+    private final ServiceRouter router;
+    private long nextRequest;
+    private long answered;
+    private long logBytes;
+
+    RoutingHost(Configuration configuration) {
+        RoutingOptions options = RoutingOptions.builder().build();
+        router =
+                new ServiceRouter(
+                        environment(),
+                        options,
+                        configuration.service("service-0").orElseThrow(),
+                        new MessageBudget(time, options.loanMessagesPerSecond()),
+                        new Silence());
+        router.apply(configuration);
+        Set<SlotKey> held = new HashSet<>();
+        for (BackendServer server : configuration.backendServers()) {
+            for (int index = 0; index < server.slots(); index++) {
+                held.add(new SlotKey(server.name(), index));
+            }
+        }
+        router.hold(held);
+        for (long at = 0; at < WARM_UP_MILLISECONDS; at += TICK_MILLISECONDS) {
+            time.advance(TICK_MILLISECONDS);
+            router.tick();
+        }
+    }
+
+    private RoutingEnvironment environment() {
+        return new RoutingEnvironment(
+                Sample.host(0),
+                Sample.availabilityZone(0),
+                time,
+                time,
+                new Servers(),
+                (host, message) -> {},
+                event -> logBytes += event.toLine().length(),
+                (counter, amount) -> {},
+                RandomSource.XO_RO_SHI_RO_128_PP.create(SEED),
+                new Rights(),
+                slot -> {},
+                RequestSuspicion.NONE);
+    }
+
+    void run(int requests) {
+        for (int count = 0; count < requests; count++) {
+            router.run(request(time.monotonicMilliseconds()));
+        }
+    }
+
+    private Request request(long now) {
+        return request(Sample.READ, "request-" + nextRequest++, now);
+    }
+
+    static Request request(RequestKind kind, String identifier, long now) {
+        return Request.builder()
+                .key(new RequestKey("crew-1", identifier))
+                .service("service-0")
+                .kind(kind)
+                .method(kind.method())
+                .target("/service-0/streets")
+                .contentHash("0f4d6a7c8b9e")
+                .arrivedMilliseconds(now)
+                .deadlineMilliseconds(now + 1_000)
+                .build();
+    }
+
+    void tick(int times) {
+        for (int count = 0; count < times; count++) {
+            router.tick();
+        }
+    }
+
+    long answered() {
+        return answered;
+    }
+
+    long logBytes() {
+        return logBytes;
+    }
+
+    private final class Servers implements BackendServerLink {
+
+        private final Answer answer = new Answer(ResultCode.ANSWERED, 200, List.of(), new byte[0]);
+
+        @Override
+        public CompletableFuture<AttemptAnswer> dispatch(Attempt attempt) {
+            answered++;
+            return CompletableFuture.completedFuture(new AttemptAnswer(answer, REPORT));
+        }
+
+        @Override
+        public void cancel(long attemptNumber) {}
+
+        @Override
+        public CompletableFuture<LoadReport> probe(BackendServer server) {
+            return CompletableFuture.completedFuture(REPORT);
+        }
+    }
+
+    private static final class Rights implements SlotRights {
+
+        @Override
+        public boolean isUsable(SlotKey slot) {
+            return true;
+        }
+
+        @Override
+        public long authorityUntilMilliseconds() {
+            return Long.MAX_VALUE;
+        }
+    }
+
+    private static final class Silence implements ServiceRouter.ServerWords {
+
+        @Override
+        public void tellReduction(ServerAllowance allowance) {}
+
+        @Override
+        public void tellSighting(String backendServer, String bootIdentity) {}
+
+        @Override
+        public void askForWord(String backendServer) {}
+    }
+}
--- /dev/null
+++ b/stand-in/src/main/java/org/siskinramp/standin/command/SlopesCommand.java
@@ -0,0 +1,18 @@
+package org.siskinramp.standin.command;
+
+import org.kohsuke.args4j.Option;
+import org.siskinramp.log.EventLog;
+import org.siskinramp.standin.capacity.Slopes;
+
+/** Measures how memory, processor time and messages grow with the size of a deployment. */
+public final class SlopesCommand implements StandInCommand {
+
+    @Option(name = "--part", usage = "the only part to measure")
+    private String part = "";
+
+    @Override
+    public int run(EventLog output) {
+        Slopes.measure(part, output);
+        return 0;
+    }
+}
--- a/stand-in/src/test/java/org/siskinramp/standin/MainTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/MainTest.java
@@ -32,6 +32,16 @@
         assertEquals(3, text().lines().filter(line -> line.contains("result_code=502")).count());
     }
 
+    @Test
+    void heartbeatsOfSixteenMembersWithoutNewsTakeLessThanTwoKilobytesPerSecond() {
+        assertEquals(0, main.run("slopes", "--part", "heartbeat"));
+        assertTrue(
+                text().contains(
+                                "part=heartbeat judged_cold_servers=0 spares=0 members=16"
+                                        + " frame_bytes=56 bytes_per_second=1680"));
+        assertEquals(2, main.run("slopes", "--part", "nothing"));
+    }
+
     private String text() {
         return output.toString(StandardCharsets.UTF_8);
     }
