--- a/stand-in/src/main/java/org/siskinramp/standin/Main.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/Main.java
@@ -19,6 +19,7 @@
 import org.siskinramp.standin.command.MeasureRunCommand;
 import org.siskinramp.standin.command.PlatformCommand;
 import org.siskinramp.standin.command.RandomisedCommand;
+import org.siskinramp.standin.command.SlopesCommand;
 import org.siskinramp.standin.command.StandInCommand;
 
 /** Starts the stand-in that the first argument names. */
@@ -38,7 +39,8 @@
                             "measure-run", MeasureRunCommand::new,
                             "measure-report", MeasureReportCommand::new,
                             "fault-proxy", FaultProxyCommand::new,
-                            "randomised", RandomisedCommand::new));
+                            "randomised", RandomisedCommand::new,
+                            "slopes", SlopesCommand::new));
 
     private final PrintStream output;
     private final PrintStream errors;
