Log a lost peer link once, and again when it is back

Cause: a peer that stays away was logged at each try (a few lines a second and peer for as long as it is away), which buried all other lines. Ruled out: logging each n-th try (still grows with time), and counting a TCP connection as a working link (a mute peer accepts and is given up in turn). Change: a link is logged as open at the peer's first receipt, with the failures before it, and as closed at the first failure after that; each failure raises the new counter siskinramp_peer_link_failures. Conclusion: the log shows the loss and the return of a link, the counter the tries between.

--- a/daemon/src/main/java/org/siskinramp/daemon/peer/LinkReports.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/peer/LinkReports.java
@@ -13,6 +13,18 @@
                 LogEvent.named("peer_link_opened").with("peer", peer).with("direction", direction));
     }
 
+    void opened(String peer, String direction, int failuresBefore) {
+        eventLog.record(
+                LogEvent.named("peer_link_opened")
+                        .with("peer", peer)
+                        .with("direction", direction)
+                        .with("failures_before", failuresBefore));
+    }
+
+    void linkFailed() {
+        counters.add(Counter.PEER_LINK_FAILURES);
+    }
+
     void closed(String peer, String direction, Object reason) {
         eventLog.record(
                 LogEvent.named("peer_link_closed")
--- a/daemon/src/main/java/org/siskinramp/daemon/peer/OutboundLink.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/peer/OutboundLink.java
@@ -19,7 +19,6 @@
 final class OutboundLink implements LinkEnd {
 
     private static final long CONNECT_TIMEOUT_MILLISECONDS = 1000;
-    private static final String DIRECTION = "out";
 
     private final String peer;
     private final PeerLinkOptions options;
@@ -28,6 +27,7 @@
     private final Function<String, Optional<String>> addresses;
     private final Selector selector;
     private final Backoff backoff;
+    private final LinkHistory history;
     private final SendQueue queue;
     private final ByteBuffer output;
     private final ByteBuffer input = ByteBuffer.allocate(1024);
@@ -53,6 +53,7 @@
         this.addresses = addresses;
         this.selector = selector;
         this.backoff = backoff;
+        this.history = new LinkHistory(peer, reports);
         this.queue = new SendQueue(options.queueLimitFrames());
         this.output =
                 ByteBuffer.allocate(PeerCodec.LENGTH_BYTES + options.frameLimitBytes()).flip();
@@ -131,7 +132,6 @@
     private void connected(SelectionKey key, long nowMilliseconds) throws IOException {
         connected = true;
         key.interestOps(SelectionKey.OP_READ);
-        reports.opened(peer, DIRECTION);
         Frame hello = codec.encode(new Hello(options.hostName(), options.incarnation(), peer));
         output.clear();
         output.put(hello.bytes()).flip();
@@ -173,6 +173,7 @@
             }
             unansweredSinceMilliseconds = Long.MAX_VALUE;
             backoff.reset();
+            history.answered();
         }
     }
 
@@ -229,7 +230,7 @@
         if (channel == null) {
             return;
         }
-        reports.closed(peer, DIRECTION, reason);
+        history.failed(reason);
         Channels.closeQuietly(channel);
         channel = null;
         connected = false;
--- a/daemon/src/test/java/org/siskinramp/daemon/peer/PeerLinkTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/peer/PeerLinkTest.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -32,6 +33,7 @@
     private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
     private final Map<Counter, Long> counts = new EnumMap<>(Counter.class);
     private final Map<String, Integer> sentBytes = new ConcurrentHashMap<>();
+    private final Map<String, List<String>> linesOut = new ConcurrentHashMap<>();
     private final ExecutorService workers = Executors.newFixedThreadPool(3);
     private final List<PeerLink> links = new ArrayList<>();
 
@@ -94,6 +96,32 @@
         }
     }
 
+    @Test
+    void logsALostLinkOnceHoweverOftenItIsTried() throws Exception {
+        PeerLink first = start("entry-1", 0);
+        PeerLink second = start("entry-2", 0);
+        int port = second.port();
+        first.send("entry-2", new ConfigurationNotice(1));
+        assertReceived("entry-2 from entry-1 ConfigurationNotice[version=1]");
+        second.stop();
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (count(Counter.PEER_LINK_FAILURES) < 4 && System.nanoTime() < end) {
+            first.send("entry-2", new ConfigurationNotice(2));
+            Thread.sleep(10);
+        }
+        assertTrue(count(Counter.PEER_LINK_FAILURES) >= 4);
+        start("entry-2", port);
+        awaitReceivedAfterSending(first);
+        awaitLines("entry-1", 3);
+        List<String> lines = List.copyOf(linesOut.get("entry-1"));
+        assertEquals(
+                "event=peer_link_opened peer=entry-2 direction=out failures_before=0",
+                lines.get(0));
+        assertTrue(lines.get(1).startsWith("event=peer_link_closed peer=entry-2 direction=out"));
+        assertTrue(lines.get(2).startsWith("event=peer_link_opened peer=entry-2 direction=out"));
+        assertTrue(lines.get(2).matches(".* failures_before=([4-9]|[1-9][0-9]+)"));
+    }
+
     @Test
     void closesALinkThatSendsAMalformedOrOversizedFrame() throws Exception {
         PeerLink link = start("entry-1", 0);
@@ -143,7 +171,7 @@
                         (sender, message) -> receive(host, sender, message),
                         workers,
                         new SystemClock(),
-                        event -> {},
+                        event -> log(host, event.toLine()),
                         this::count,
                         (direction, type, bytes) -> {
                             if (direction == PeerTraffic.Direction.SENT) {
@@ -160,6 +188,19 @@
         received.add(host + " from " + sender + " " + message);
     }
 
+    private void log(String host, String line) {
+        if (line.contains("direction=out")) {
+            linesOut.computeIfAbsent(host, name -> new CopyOnWriteArrayList<>()).add(line);
+        }
+    }
+
+    private void awaitLines(String host, int lines) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        while (linesOut.get(host).size() < lines && System.nanoTime() < end) {
+            Thread.sleep(10);
+        }
+    }
+
     private synchronized void count(Counter counter, long amount) {
         counts.merge(counter, amount, Long::sum);
     }
--- a/library/src/main/java/org/siskinramp/log/Counter.java
+++ b/library/src/main/java/org/siskinramp/log/Counter.java
@@ -44,6 +44,8 @@
     PEER_FRAMES_DROPPED,
     /** Frames of a type that this version does not know. */
     PEER_FRAMES_UNKNOWN,
+    /** Links to other entry hosts that broke or could not be opened. */
+    PEER_LINK_FAILURES,
     /** Backend servers found cold. */
     COLD_STARTS,
     /** Backend servers ejected. */
