Tell callers to come back while a host has no configuration

Cause: an entry host that started while the platform was down answered each request with 404, code 201 "no service has this path", which tells the caller that its request is wrong. Seen on loopback with the platform in an outage. Ruled out: not listening until the configuration is read, because /ready already keeps the balancer away and a closed port says less. Change: 503, code 205, Not-Run: copy and Retry-After: 1 until version 1. Run: CallerServerTest with one test new; mvn verify -pl daemon -am, exit 0. Conclusion: the refusal is one that a caller may repeat.

--- a/daemon/src/main/java/org/siskinramp/daemon/caller/RequestHeadReader.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/RequestHeadReader.java
@@ -23,6 +23,7 @@
     static final String REQUEST_ID = "Request-Id";
 
     private static final String CALLER = "Caller";
+    private static final long RETRY_WITHOUT_CONFIGURATION_MILLISECONDS = 1_000;
     private static final String REQUEST_DEADLINE = "Request-Deadline";
     private static final int NAME_LIMIT_CHARACTERS = 200;
     private static final Set<String> IDEMPOTENT_METHODS = Set.of("GET", "HEAD", "OPTIONS");
@@ -65,9 +66,14 @@
         if (path == null) {
             throw refusal(ResultCode.REQUEST_INVALID, "the target has no path");
         }
-        return configuration
-                .get()
-                .serviceOfPath(path)
+        Configuration current = configuration.get();
+        if (current.version() == 0) {
+            throw new ResultException(
+                    ResultCode.NO_BACKEND_SERVER,
+                    "this entry host has no configuration yet",
+                    RETRY_WITHOUT_CONFIGURATION_MILLISECONDS);
+        }
+        return current.serviceOfPath(path)
                 .orElseThrow(() -> refusal(ResultCode.SERVICE_UNKNOWN, "path=" + path));
     }
 
--- a/daemon/src/test/java/org/siskinramp/daemon/caller/CallerServerTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/caller/CallerServerTest.java
@@ -49,13 +49,15 @@
     private final AtomicReference<Request> seen = new AtomicReference<>();
     private final CompletableFuture<Answer> answer = new CompletableFuture<>();
     private final ManualClock clock = new ManualClock();
+    private final AtomicReference<Configuration> configuration =
+            new AtomicReference<>(CONFIGURATION);
     private final CallerServer server =
             new CallerServer(
                     request -> {
                         seen.set(request);
                         return answer;
                     },
-                    () -> CONFIGURATION,
+                    configuration::get,
                     clock,
                     event -> {},
                     (counter, amount) -> {},
@@ -198,6 +200,16 @@
                 received);
     }
 
+    @Test
+    void asksCallersToComeBackWhileItHasNoConfiguration() throws Exception {
+        configuration.set(Configuration.empty());
+        String received = ask(get("/dispatch/plan", "Caller: c\r\n"));
+        assertTrue(received.startsWith("HTTP/1.1 503 "), received);
+        assertTrue(received.contains("\r\nResult-Code: 205\r\n"), received);
+        assertTrue(received.contains("\r\nNot-Run: copy\r\n"), received);
+        assertTrue(received.contains("\r\nRetry-After: 1\r\n"), received);
+    }
+
     @Test
     void doesNotPromiseThatAnUnknownOutcomeDidNotRun() throws Exception {
         answer.completeExceptionally(new ResultException(ResultCode.OUTCOME_UNKNOWN, ""));
