--- a/stand-in/src/main/java/org/siskinramp/standin/measurement/report/Page.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/measurement/report/Page.java
@@ -54,11 +54,13 @@
 
     private final List<Summary> summaries;
     private final List<Picture> pictures;
+    private final String pictureDirectory;
     private final StringBuilder text = new StringBuilder();
 
-    Page(List<Summary> summaries, List<Picture> pictures) {
+    Page(List<Summary> summaries, List<Picture> pictures, String pictureDirectory) {
         this.summaries = summaries;
         this.pictures = pictures;
+        this.pictureDirectory = pictureDirectory;
     }
 
     String write(ReportHead head) {
@@ -78,7 +80,14 @@
         TABLES.forEach(this::writeTable);
         pictures.forEach(
                 picture -> {
-                    line("![" + picture.title() + "](" + picture.fileName() + ")");
+                    line(
+                            "!["
+                                    + picture.title()
+                                    + "]("
+                                    + pictureDirectory
+                                    + "/"
+                                    + picture.fileName()
+                                    + ")");
                     line("");
                 });
         return text.toString();
--- a/stand-in/src/main/java/org/siskinramp/standin/measurement/report/Report.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/measurement/report/Report.java
@@ -14,6 +14,7 @@
 public final class Report {
 
     private static final String PAGE = "MEASUREMENTS.md";
+    private static final String PICTURES = "measurements";
 
     private final List<Summary> summaries;
 
@@ -54,19 +55,21 @@
     }
 
     /**
-     * Writes the page and its pictures.
+     * Writes the page, and its pictures into a directory beside it.
      *
      * @param directory where to; it is created
      * @param head where the figures come from
      * @throws IOException if they cannot be written
      */
     public void writeTo(Path directory, ReportHead head) throws IOException {
-        Files.createDirectories(directory);
+        Path pictureDirectory = directory.resolve(PICTURES);
+        Files.createDirectories(pictureDirectory);
         List<Picture> pictures = Pictures.of(summaries);
         for (Picture picture : pictures) {
-            Files.writeString(directory.resolve(picture.fileName()), picture.content());
+            Files.writeString(pictureDirectory.resolve(picture.fileName()), picture.content());
         }
-        Files.writeString(directory.resolve(PAGE), new Page(summaries, pictures).write(head));
+        Files.writeString(
+                directory.resolve(PAGE), new Page(summaries, pictures, PICTURES).write(head));
     }
 
     private static String group(RunLine run) {
--- a/stand-in/src/test/java/org/siskinramp/standin/measurement/report/ReportTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/measurement/report/ReportTest.java
@@ -45,9 +45,10 @@
         assertTrue(page.contains("`measure x`"));
         assertTrue(page.contains("abc1234"));
         assertTrue(page.contains("a trial"));
+        assertTrue(page.contains("](measurements/qazaq-p99-by-load.svg)"));
         assertTrue(page.contains("| qazaq | idle | slots | 1 |"));
         assertTrue(page.contains("20.5 [10–30]"));
-        String picture = Files.readString(directory.resolve("qazaq-p99-by-load.svg"));
+        String picture = Files.readString(directory.resolve("measurements/qazaq-p99-by-load.svg"));
         assertTrue(picture.endsWith("</svg>\n"));
         assertFalse(picture.contains("NaN"));
     }
