Hold back a request that may have stopped two servers, and give up silent reads early

Cause, from the tests with real processes: (1) a request sent again at once stopped a third server 260 ms after the second, before either stop was proven; (2) reads on connections that had gone silent stayed until their deadline, 7 of 150 failed; (3) after a server was killed and came back, 2 requests were in progress there while it was cold: answers that a borrower had got from the former start counted as evidence for the new one. Change: (1) a broken connection is told to the peers as a doubt for 2 s; two servers in doubt hold the request back like two proven stops. (2) the first attempt of an idempotent request is given up after 5 times the 99th percentile, at least 300 ms, and tried elsewhere inside the retry budget. (3) evidence counts only for the start of the server that gave it. Membership's violations are now counted as well.

--- a/library/src/main/java/org/siskinramp/host/EntryHostParts.java
+++ b/library/src/main/java/org/siskinramp/host/EntryHostParts.java
@@ -90,6 +90,7 @@
                 .scheduler(builder.scheduler())
                 .sender(builder.peerSender())
                 .eventLog(builder.eventLog())
+                .counters(builder.counters())
                 .contribution(words::contribution)
                 .holdingsListener(routers::hold)
                 .newerViewListener(version -> viewFollower().hint(version))
--- a/library/src/main/java/org/siskinramp/ledger/SuspectRequests.java
+++ b/library/src/main/java/org/siskinramp/ledger/SuspectRequests.java
@@ -30,6 +30,7 @@
     private final EventLog eventLog;
     private final SuspicionOptions options;
     private final Consumer<SuspectRequest> peers;
+    private final Doubts doubts;
     private final Map<String, Suspect> suspects = new LinkedHashMap<>();
     private final Map<String, Long> recentEnds = new LinkedHashMap<>();
     private volatile boolean empty = true;
@@ -51,6 +52,7 @@
         this.eventLog = Objects.requireNonNull(eventLog, "eventLog");
         this.options = Objects.requireNonNull(options, "options");
         this.peers = Objects.requireNonNull(peers, "peers");
+        this.doubts = new Doubts(options.limit());
     }
 
     @Override
@@ -60,7 +62,31 @@
 
     @Override
     public boolean isQuarantined(String contentHash) {
-        return stops(contentHash) >= STOPS_TO_QUARANTINE;
+        return !empty && countStopsAndDoubts(contentHash) >= STOPS_TO_QUARANTINE;
+    }
+
+    /** A second server that may have stopped holds the request back until it is known. */
+    private synchronized int countStopsAndDoubts(String contentHash) {
+        return countStops(contentHash) + doubts.count(contentHash, clock.monotonicMilliseconds());
+    }
+
+    @Override
+    public void connectionBroke(String contentHash, String backendServer) {
+        if (addDoubt(contentHash, backendServer)) {
+            peers.accept(new SuspectRequest(contentHash, backendServer, 0));
+        }
+    }
+
+    private synchronized boolean addDoubt(String contentHash, String backendServer) {
+        long now = clock.monotonicMilliseconds();
+        Suspect suspect = suspects.get(contentHash);
+        boolean known = suspect != null && suspect.hasSeen(backendServer, now);
+        if (known || ranToEndRecently(contentHash, now)) {
+            return false;
+        }
+        doubts.add(contentHash, backendServer, now);
+        empty = false;
+        return true;
     }
 
     private int stops(String contentHash) {
@@ -86,6 +112,7 @@
     }
 
     private synchronized int addStop(String contentHash, String backendServer) {
+        doubts.resolve(contentHash, backendServer);
         long now = clock.monotonicMilliseconds();
         if (ranToEndRecently(contentHash, now)) {
             return 0;
@@ -112,6 +139,10 @@
      * @param word the word
      */
     public void receive(String host, SuspectRequest word) {
+        if (word.stops() == 0) {
+            addDoubt(word.contentHash(), word.backendServer());
+            return;
+        }
         int stops = merge(word);
         if (stops > 0) {
             log(word.contentHash(), word.backendServer(), stops, host);
@@ -119,6 +150,7 @@
     }
 
     private synchronized int merge(SuspectRequest word) {
+        doubts.resolve(word.contentHash(), word.backendServer());
         Suspect suspect = takeOrCreate(word.contentHash());
         int before = suspect.stops;
         if (!suspect.names(word.backendServer())) {
@@ -163,7 +195,8 @@
         recentEnds.put(contentHash, clock.monotonicMilliseconds());
         dropOldest(recentEnds);
         boolean cleared = suspects.remove(contentHash) != null;
-        empty = suspects.isEmpty();
+        doubts.clear(contentHash);
+        empty = suspects.isEmpty() && doubts.isEmpty();
         return cleared;
     }
 
--- a/library/src/main/java/org/siskinramp/routing/Dispatcher.java
+++ b/library/src/main/java/org/siskinramp/routing/Dispatcher.java
@@ -22,6 +22,8 @@
     private static final int ATTEMPTS_AT_MOST = 4;
     private static final int SERVER_ERROR_STATUS = 500;
     private static final int SAMPLES_BEFORE_HEDGING = 100;
+    private static final long SHORTEST_STALL_MILLISECONDS = 300;
+    private static final long STALL_FACTOR = 5;
     private static final AtomicLong NEXT_ATTEMPT_NUMBER = new AtomicLong(1);
 
     private final ServiceState state;
@@ -177,10 +179,7 @@
         server.beginRequest();
         run.begin(number, server.backendServer().name());
         open.put(number, new OpenAttempt(run, slot, server, now));
-        long deadline =
-                Math.min(
-                        run.request().deadlineMilliseconds(),
-                        now + state.service().timeLimitMilliseconds());
+        long deadline = attemptDeadline(run, now);
         Attempt attempt =
                 new Attempt(
                         number,
@@ -196,6 +195,24 @@
         scheduleHedge(run, effects);
     }
 
+    /**
+     * Decides when an attempt is given up. The first attempt of an idempotent request is given up
+     * well before the request, so that another server can still answer if a connection is silent.
+     */
+    private long attemptDeadline(RequestRun run, long now) {
+        long last =
+                Math.min(
+                        run.request().deadlineMilliseconds(),
+                        now + state.service().timeLimitMilliseconds());
+        boolean first = run.isIdempotent() && run.attemptCount() == 1;
+        if (!first || state.latencies().count() < SAMPLES_BEFORE_HEDGING) {
+            return last;
+        }
+        long usual = state.latencies().quantile(state.options().hedgeQuantile(), 0);
+        long stalled = Math.max(SHORTEST_STALL_MILLISECONDS, STALL_FACTOR * usual);
+        return Math.min(last, now + stalled);
+    }
+
     private void send(Attempt attempt) {
         CompletableFuture<AttemptAnswer> unused =
                 state.environment()
@@ -293,8 +310,7 @@
         if (!failed) {
             attempt.slot().countAnswer();
         }
-        observer.answered(
-                attempt.server(), result, failed, state.now() - attempt.startedAt(), effects);
+        observer.answered(attempt, result, failed, effects);
         RequestRun run = attempt.run();
         String contentHash = run.request().contentHash();
         effects.add(() -> state.environment().requestSuspicion().ranToEnd(contentHash));
--- a/library/src/main/java/org/siskinramp/routing/LoanDesk.java
+++ b/library/src/main/java/org/siskinramp/routing/LoanDesk.java
@@ -160,7 +160,7 @@
                         + state.options().slotMarginMilliseconds();
         ServerState server = state.servers().get(slot.key().backendServer());
         String boot = server.warmth().bootIdentity();
-        slot.lend(borrower, busyUntil);
+        slot.lend(borrower, boot, busyUntil);
         lent.put(number, slot);
         logLoan("loan_granted", slot.key(), borrower);
         return new LoanGrant.Loan(
@@ -247,7 +247,7 @@
 
     private void learn(Slot slot, int answers) {
         ServerState server = state.servers().get(slot.key().backendServer());
-        if (server != null) {
+        if (server != null && server.warmth().bootIdentity().equals(slot.lentBootIdentity())) {
             server.warmth().recordAnswersElsewhere(answers, state.now());
         }
     }
--- a/library/src/main/java/org/siskinramp/routing/RequestSuspicion.java
+++ b/library/src/main/java/org/siskinramp/routing/RequestSuspicion.java
@@ -16,6 +16,9 @@
                     return false;
                 }
 
+                @Override
+                public void connectionBroke(String contentHash, String backendServer) {}
+
                 @Override
                 public void serverStopped(String contentHash, String backendServer) {}
 
@@ -39,6 +42,15 @@
      */
     boolean isQuarantined(String contentHash);
 
+    /**
+     * Records that a connection broke while a server ran a request. Whether the server stopped is
+     * not known yet.
+     *
+     * @param contentHash the hash of the request
+     * @param backendServer the server
+     */
+    void connectionBroke(String contentHash, String backendServer);
+
     /**
      * Records that a server stopped while it ran a request.
      *
--- a/library/src/main/java/org/siskinramp/routing/ServerObserver.java
+++ b/library/src/main/java/org/siskinramp/routing/ServerObserver.java
@@ -64,22 +64,24 @@
         void probed(String backendServer, LoadReport report, Throwable failure);
     }
 
-    void answered(
-            ServerState server,
-            AttemptAnswer result,
-            boolean failed,
-            long latencyMilliseconds,
-            Effects effects) {
+    void answered(OpenAttempt attempt, AttemptAnswer result, boolean failed, Effects effects) {
         long now = state.now();
+        ServerState server = attempt.server();
         server.hear(result.loadReport(), now);
-        noteBootIdentity(server, result.loadReport().bootIdentity(), effects);
+        String bootIdentity = result.loadReport().bootIdentity();
+        boolean ofEarlierStart =
+                attempt.outlivedServer() && attempt.bootIdentity().equals(bootIdentity);
+        if (!ofEarlierStart) {
+            noteBootIdentity(server, bootIdentity, effects);
+        }
         if (failed) {
             recordFailure(server, now);
             return;
         }
+        long latencyMilliseconds = now - attempt.startedAt();
         server.health().recordSuccess(latencyMilliseconds, now);
         state.latencies().add(latencyMilliseconds);
-        if (server.warmth().recordAnswer(latencyMilliseconds, now)) {
+        if (!ofEarlierStart && server.warmth().recordAnswer(latencyMilliseconds, now)) {
             foundCold(server, "slow", effects);
         }
     }
@@ -103,7 +105,11 @@
                 blameBroken(server, effects);
             }
             case CONNECTION_BROKEN -> {
-                server.rememberBroken(attempt.run().request().contentHash(), now);
+                String hash = attempt.run().request().contentHash();
+                server.rememberBroken(hash, now);
+                String name = server.backendServer().name();
+                effects.add(
+                        () -> state.environment().requestSuspicion().connectionBroke(hash, name));
                 if (attempt.outlivedServer()) {
                     blameBroken(server, effects);
                 }
--- a/library/src/main/java/org/siskinramp/routing/Slot.java
+++ b/library/src/main/java/org/siskinramp/routing/Slot.java
@@ -27,6 +27,7 @@
     private long useEnds;
     private int answers;
     private String borrower;
+    private String lentBootIdentity = "";
 
     private Slot(
             SlotKey key, String lender, long loanNumber, long usableUntil, String bootIdentity) {
@@ -129,9 +130,15 @@
         useEnds = until;
     }
 
-    void lend(String host, long until) {
+    /** Returns which start of the server a borrower was told. */
+    String lentBootIdentity() {
+        return lentBootIdentity;
+    }
+
+    void lend(String host, String toldBootIdentity, long until) {
         use = Use.LENT;
         borrower = host;
+        lentBootIdentity = toldBootIdentity;
         useEnds = until;
     }
 
--- a/library/src/test/java/org/siskinramp/ledger/SuspectRequestsTest.java
+++ b/library/src/test/java/org/siskinramp/ledger/SuspectRequestsTest.java
@@ -40,6 +40,24 @@
         assertTrue(suspects.isQuarantined("aa"));
     }
 
+    @Test
+    void holdsARequestBackWhileTwoServersMayHaveStopped() {
+        suspects.connectionBroke("aa", "server-1");
+        assertFalse(suspects.isQuarantined("aa"));
+        suspects.receive("entry-2", new SuspectRequest("aa", "server-2", 0));
+        assertTrue(suspects.isQuarantined("aa"));
+        time.advance(2_000);
+        assertFalse(suspects.isQuarantined("aa"));
+    }
+
+    @Test
+    void countsAServerOnceThatWasDoubtedAndThenStopped() {
+        suspects.connectionBroke("aa", "server-1");
+        suspects.serverStopped("aa", "server-1");
+        assertFalse(suspects.isQuarantined("aa"));
+        assertTrue(suspects.mustRunAlone("aa"));
+    }
+
     @Test
     void countsAStopOnceThoughAPeerReportsItToo() {
         suspects.serverStopped("aa", "server-1");
--- a/library/src/test/java/org/siskinramp/routing/RoutingCell.java
+++ b/library/src/test/java/org/siskinramp/routing/RoutingCell.java
@@ -286,6 +286,11 @@
             return host.isQuarantined(contentHash);
         }
 
+        @Override
+        public void connectionBroke(String contentHash, String backendServer) {
+            host.connectionBroke(contentHash, backendServer);
+        }
+
         @Override
         public void serverStopped(String contentHash, String backendServer) {
             stops.add(contentHash);
