Give up silent first attempts before statistics exist, and wait for a fallen judge

Cause: with fewer than 100 answers seen the first attempt of a read kept its whole 4 s, so 6 of 150 reads on silent connections ended with 302 after one attempt (ClusterTest, open connections to backend servers go silent). The scenario of a request sent again at once got its 215, and then asked a stand-in that was fallen over for its counts: ConnectException, a fault of the test. Change: without statistics a quarter of the time left, at least 300 ms; the test's judge is waited for, up to 10 s, and its counts are compared as before.

--- a/library/src/main/java/org/siskinramp/routing/Dispatcher.java
+++ b/library/src/main/java/org/siskinramp/routing/Dispatcher.java
@@ -24,6 +24,7 @@
     private static final int SAMPLES_BEFORE_HEDGING = 100;
     private static final long SHORTEST_STALL_MILLISECONDS = 300;
     private static final long STALL_FACTOR = 5;
+    private static final long STALL_PART = 4;
     private static final AtomicLong NEXT_ATTEMPT_NUMBER = new AtomicLong(1);
 
     private final ServiceState state;
@@ -205,12 +206,14 @@
                         run.request().deadlineMilliseconds(),
                         now + state.service().timeLimitMilliseconds());
         boolean first = run.isIdempotent() && run.attemptCount() == 1;
-        if (!first || state.latencies().count() < SAMPLES_BEFORE_HEDGING) {
-            return last;
-        }
+        return first ? Math.min(last, now + stallMilliseconds(last - now)) : last;
+    }
+
+    private long stallMilliseconds(long timeLeft) {
+        boolean known = state.latencies().count() >= SAMPLES_BEFORE_HEDGING;
         long usual = state.latencies().quantile(state.options().hedgeQuantile(), 0);
-        long stalled = Math.max(SHORTEST_STALL_MILLISECONDS, STALL_FACTOR * usual);
-        return Math.min(last, now + stalled);
+        long stalled = known ? STALL_FACTOR * usual : timeLeft / STALL_PART;
+        return Math.max(SHORTEST_STALL_MILLISECONDS, stalled);
     }
 
     private void send(Attempt attempt) {
--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/Cluster.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/Cluster.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletionException;
 import org.siskinramp.standin.Main;
 import org.siskinramp.standin.TestClient;
 import org.siskinramp.standin.http.Json;
@@ -29,6 +30,7 @@
     private static final String ANY_PORT = "127.0.0.1:0";
     private static final long GONE_MILLISECONDS = 500;
     private static final int ZONES = 3;
+    private static final long REACHABLE_SECONDS = 10;
     private static final long IN_FORCE_SECONDS = 20;
     private static final long SLOTS_SECONDS = 30;
     private static final List<String> SERVER_OPTIONS =
@@ -142,7 +144,7 @@
     }
 
     JsonNode judge(String server) {
-        String body = new TestClient(serverAddresses.get(server)).get("/-/judge").body();
+        String body = reach(serverAddresses.get(server)).get("/-/judge").body();
         return Json.read(body.getBytes(StandardCharsets.UTF_8), JsonNode.class);
     }
 
@@ -157,7 +159,7 @@
         String path = "/-/judge/runs?caller=" + caller + "&request_id=" + requestId;
         int runs = 0;
         for (String address : serverAddresses.values()) {
-            String body = new TestClient(address).get(path).body();
+            String body = reach(address).get(path).body();
             runs +=
                     Json.read(body.getBytes(StandardCharsets.UTF_8), JsonNode.class)
                             .get("runs")
@@ -166,6 +168,20 @@
         return runs;
     }
 
+    /** Waits for a server, since one that has fallen over answers no judge until it starts anew. */
+    private static TestClient reach(String address) {
+        Waiting.until(REACHABLE_SECONDS, () -> address + " reachable", () -> isReachable(address));
+        return new TestClient(address);
+    }
+
+    private static boolean isReachable(String address) {
+        try {
+            return new TestClient(address).get("/-/judge").statusCode() == 200;
+        } catch (CompletionException unreachable) {
+            return false;
+        }
+    }
+
     void commandServers(String faults) {
         serverAddresses.values().forEach(address -> post(address, faults));
     }
