--- a/library/src/main/java/org/siskinramp/attempt/AttemptException.java
+++ b/library/src/main/java/org/siskinramp/attempt/AttemptException.java
@@ -1,7 +1,7 @@
 package org.siskinramp.attempt;
 
 import java.util.Objects;
-import java.util.concurrent.CompletionException;
+import org.siskinramp.result.Futures;
 
 /** Reports an attempt that ended without a whole answer. */
 public final class AttemptException extends RuntimeException {
@@ -32,10 +32,7 @@
      *     request may have run
      */
     public static AttemptException from(Throwable failure) {
-        Throwable cause = failure;
-        while (cause instanceof CompletionException && cause.getCause() != null) {
-            cause = cause.getCause();
-        }
+        Throwable cause = Futures.causeOf(failure);
         if (cause instanceof AttemptException attempt) {
             return attempt;
         }
--- a/library/src/main/java/org/siskinramp/result/Futures.java
+++ b/library/src/main/java/org/siskinramp/result/Futures.java
@@ -1,6 +1,7 @@
 package org.siskinramp.result;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.function.BiConsumer;
 
 /** Helps with futures whose end is acted upon. */
@@ -21,6 +22,20 @@
         future.whenComplete(action);
     }
 
+    /**
+     * Finds the failure that a future reports around.
+     *
+     * @param failure the failure as a future reports it
+     * @return the failure beneath all completion failures
+     */
+    public static Throwable causeOf(Throwable failure) {
+        Throwable cause = failure;
+        while (cause instanceof CompletionException && cause.getCause() != null) {
+            cause = cause.getCause();
+        }
+        return cause;
+    }
+
     /**
      * Ends a future as another one ends.
      *
--- a/library/src/main/java/org/siskinramp/result/ResultException.java
+++ b/library/src/main/java/org/siskinramp/result/ResultException.java
@@ -1,7 +1,6 @@
 package org.siskinramp.result;
 
 import java.util.OptionalLong;
-import java.util.concurrent.CompletionException;
 
 /**
  * Carries a result code as the failure of a {@link java.util.concurrent.CompletableFuture}.
@@ -90,10 +89,7 @@
      *     an unexpected failure
      */
     public static ResultException from(Throwable failure) {
-        Throwable cause = failure;
-        while (cause instanceof CompletionException && cause.getCause() != null) {
-            cause = cause.getCause();
-        }
+        Throwable cause = Futures.causeOf(failure);
         if (cause instanceof ResultException result) {
             return result;
         }
