Take out a question of attempts' failures that nobody asks

Cause: stops are proven by a new boot identity or a refused connection, so whether a failure suggests a stop is no longer asked; the flag stood in every constant. Behaviour is the same.

--- a/library/src/main/java/org/siskinramp/attempt/AttemptFailure.java
+++ b/library/src/main/java/org/siskinramp/attempt/AttemptFailure.java
@@ -3,34 +3,32 @@
 /** Says why an attempt ended without a whole answer. */
 public enum AttemptFailure {
     /** The permission had lapsed, so nothing was sent. */
-    NOT_PERMITTED(true, false),
+    NOT_PERMITTED(true),
     /** No connection could be opened: nobody listens. */
-    CONNECTION_REFUSED(true, true),
+    CONNECTION_REFUSED(true),
     /** No connection was opened in time. */
-    CONNECTION_TIMED_OUT(true, false),
+    CONNECTION_TIMED_OUT(true),
     /** The server said that it did not run the request because it is full. */
-    SHED(true, false),
+    SHED(true),
     /** The server said that it did not run the request because it is leaving. */
-    LEAVING(true, false),
+    LEAVING(true),
     /** The connection broke after the first byte was sent. */
-    CONNECTION_BROKEN(false, true),
+    CONNECTION_BROKEN(false),
     /** The body of the answer ended early. */
-    ANSWER_INCOMPLETE(false, false),
+    ANSWER_INCOMPLETE(false),
     /** The answer names another request. */
-    ANSWER_CROSSED(false, false),
+    ANSWER_CROSSED(false),
     /** The answer is larger than the limit. */
-    ANSWER_TOO_LARGE(false, false),
+    ANSWER_TOO_LARGE(false),
     /** No whole answer came before the deadline. */
-    TIMED_OUT(false, false),
+    TIMED_OUT(false),
     /** The attempt was cancelled by this host. */
-    CANCELLED(false, false);
+    CANCELLED(false);
 
     private final boolean notRun;
-    private final boolean sudden;
 
-    AttemptFailure(boolean notRun, boolean sudden) {
+    AttemptFailure(boolean notRun) {
         this.notRun = notRun;
-        this.sudden = sudden;
     }
 
     /**
@@ -41,13 +39,4 @@
     public boolean isNotRun() {
         return notRun;
     }
-
-    /**
-     * Tells whether the failure suggests that the server's process has ended.
-     *
-     * @return true if the server may have stopped
-     */
-    public boolean suggestsServerStopped() {
-        return sudden;
-    }
 }
