--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
@@ -4,6 +4,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -21,8 +23,8 @@
 /** Reads each request whole, has it handled, and writes the answer or the refusal. */
 final class CallerHandler extends Handler.Abstract {
 
-    private final RequestHandler handler;
-    private final RequestHeadReader reader;
+    private final CallerProtocol protocol;
+    private final AnswerWriter writer;
     private final Clock clock;
     private final CallerServerOptions options;
     private final EventLog eventLog;
@@ -30,16 +32,17 @@
     private final BodyMemory bodyMemory;
     private final OpenRequests openRequests = new OpenRequests();
     private final AtomicBoolean stopping = new AtomicBoolean();
+    private final AtomicBoolean closing = new AtomicBoolean();
 
     CallerHandler(
-            RequestHandler handler,
-            RequestHeadReader reader,
+            CallerProtocol protocol,
             Clock clock,
             CallerServerOptions options,
             EventLog eventLog,
             Counters counters) {
-        this.handler = handler;
-        this.reader = reader;
+        super(InvocationType.NON_BLOCKING);
+        this.protocol = protocol;
+        this.writer = new AnswerWriter(protocol);
         this.clock = clock;
         this.options = options;
         this.eventLog = eventLog;
@@ -51,14 +54,25 @@
         return openRequests;
     }
 
+    AnswerWriter writer() {
+        return writer;
+    }
+
     void refuseNewRequests() {
         stopping.set(true);
     }
 
+    /** Ends each connection with its next answer, so that callers go to other hosts. */
+    void closeConnections() {
+        closing.set(true);
+    }
+
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
-        if (stopping.get()) {
+        if (stopping.get() || closing.get()) {
             response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
+        }
+        if (stopping.get()) {
             refuse(ResultCode.STOPPING, "try another entry host", request, response, callback);
         } else if (!openRequests.begin(options.requestLimit())) {
             refuse(
@@ -74,10 +88,10 @@
     }
 
     private void handleCounted(Request request, Response response, Callback callback) {
-        RequestHead head;
+        CallerCall call;
         BodyMemory.Share memory;
         try {
-            head = reader.read(request);
+            call = protocol.read(request);
             checkLength(request);
             memory = bodyMemory.open(request.getLength());
         } catch (ResultException refusal) {
@@ -91,7 +105,7 @@
                 read.body(),
                 (body, failure) -> {
                     if (failure == null) {
-                        answer(head, body, response, released);
+                        answer(call, body, request, response, released);
                     } else {
                         refuse(ResultException.from(failure), request, response, released);
                     }
@@ -106,35 +120,42 @@
         }
     }
 
-    private void answer(RequestHead head, byte[] body, Response response, Callback callback) {
-        Callback logged = Callback.from(callback, failure -> logIfLost(head, failure));
-        var unused =
-                handle(head, body)
-                        .whenComplete(
-                                (answer, failure) -> {
-                                    String requestId = head.key().requestId();
-                                    if (failure == null) {
-                                        AnswerWriter.write(answer, requestId, response, logged);
-                                    } else {
-                                        ResultException result = ResultException.from(failure);
-                                        AnswerWriter.write(result, requestId, response, logged);
-                                    }
-                                });
+    private void answer(
+            CallerCall call, byte[] body, Request request, Response response, Callback callback) {
+        Callback logged = Callback.from(callback, failure -> logIfLost(call, failure));
+        CompletableFuture<Answer> answered = run(call, body);
+        EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
+        if (endPoint instanceof WatchedEndPoint watched) {
+            watched.watch(() -> answered.cancel(false));
+            Futures.whenDone(answered, (answer, failure) -> watched.unwatch());
+        }
+        Futures.whenDone(
+                answered,
+                (answer, failure) -> {
+                    if (failure == null) {
+                        writer.write(answer, call.requestId(), response, logged);
+                    } else if (answered.isCancelled()) {
+                        logged.failed(new EofException("the caller has left"));
+                    } else {
+                        ResultException result = ResultException.from(failure);
+                        writer.write(result, call.requestId(), response, logged);
+                    }
+                });
     }
 
-    private CompletableFuture<Answer> handle(RequestHead head, byte[] body) {
+    private static CompletableFuture<Answer> run(CallerCall call, byte[] body) {
         try {
-            return handler.handle(head.withBody(body));
+            return call.run(body);
         } catch (RuntimeException failure) {
             return CompletableFuture.failedFuture(failure);
         }
     }
 
-    private void logIfLost(RequestHead head, Throwable failure) {
+    private void logIfLost(CallerCall call, Throwable failure) {
         if (failure != null) {
             eventLog.record(
                     LogEvent.named("caller_gone")
-                            .with("request", head.key())
+                            .with("request", call.requestId())
                             .with("cause", failure));
         }
     }
@@ -148,7 +169,7 @@
             ResultException refusal, Request request, Response response, Callback callback) {
         counters.add(Counter.REQUESTS);
         counters.add(Counter.REQUESTS_REFUSED);
-        String requestId = request.getHeaders().get(RequestHeadReader.REQUEST_ID);
+        String requestId = protocol.requestIdOf(request);
         eventLog.record(
                 LogEvent.named("refuse")
                         .with("request", requestId)
@@ -156,6 +177,6 @@
                         .with("path", request.getHttpURI().getPath())
                         .with("code", refusal.code().number())
                         .with("reason", refusal.code()));
-        AnswerWriter.write(refusal, requestId, response, callback);
+        writer.write(refusal, requestId, response, callback);
     }
 }
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerServer.java
@@ -1,6 +1,12 @@
 package org.siskinramp.daemon.caller;
 
+import java.net.InetSocketAddress;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
 import java.util.function.Supplier;
+import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
@@ -28,11 +34,12 @@
     private final CallerServerOptions options;
     private final EventLog eventLog;
     private final CallerHandler handler;
+    private final SidePages pages;
     private final Server server;
     private final ServerConnector connector;
 
     /**
-     * Creates the server, which must be started before use.
+     * Creates the server of the project's own interface, which must be started before use.
      *
      * @param handler answers the requests
      * @param configuration gives the configuration in force
@@ -48,32 +55,63 @@
             EventLog eventLog,
             Counters counters,
             CallerServerOptions options) {
+        this(
+                new StandardCallerProtocol(
+                        new RequestHeadReader(
+                                configuration, clock, options.defaultDeadlineMilliseconds()),
+                        handler),
+                clock,
+                eventLog,
+                counters,
+                options);
+    }
+
+    /**
+     * Creates the server for any protocol, which must be started before use.
+     *
+     * @param protocol what the callers speak
+     * @param clock tells the time
+     * @param eventLog is told of refusals and of callers that went away
+     * @param counters counts requests that are refused here
+     * @param options the address and the limits
+     */
+    public CallerServer(
+            CallerProtocol protocol,
+            Clock clock,
+            EventLog eventLog,
+            Counters counters,
+            CallerServerOptions options) {
         this.options = options;
         this.eventLog = eventLog;
-        RequestHeadReader reader =
-                new RequestHeadReader(configuration, clock, options.defaultDeadlineMilliseconds());
-        this.handler = new CallerHandler(handler, reader, clock, options, eventLog, counters);
+        this.handler = new CallerHandler(protocol, clock, options, eventLog, counters);
+        this.pages = new SidePages(handler);
         this.server = newServer();
         this.connector = newConnector();
     }
 
     private Server newServer() {
-        QueuedThreadPool threads = new QueuedThreadPool(options.threads(), 4);
+        QueuedThreadPool threads =
+                new QueuedThreadPool(options.threads(), Math.min(4, options.threads()));
         threads.setName("caller");
         Server created = new Server(threads);
-        created.setHandler(handler);
-        created.setErrorHandler(new ProtocolRefusals());
+        created.setHandler(pages);
+        created.setErrorHandler(new ProtocolRefusals(handler.writer()));
         created.setStopTimeout(0);
         return created;
     }
 
-    private ServerConnector newConnector() {
+    private HttpConfiguration newConfiguration() {
         HttpConfiguration http = new HttpConfiguration();
         http.setRequestHeaderSize(options.headerLimitBytes());
         http.setSendServerVersion(false);
         http.setSendDateHeader(false);
+        http.setUriCompliance(UriCompliance.UNSAFE);
+        return http;
+    }
+
+    private ServerConnector newConnector() {
         ServerConnector created =
-                new ServerConnector(server, 1, 1, new HttpConnectionFactory(http));
+                new WatchingConnector(server, new HttpConnectionFactory(newConfiguration()));
         created.setHost(options.host());
         created.setPort(options.port());
         created.setIdleTimeout(options.idleTimeoutMilliseconds());
@@ -81,6 +119,23 @@
         return created;
     }
 
+    /**
+     * Serves one page at an address of its own. Call it before {@link #start}.
+     *
+     * @param address where to listen
+     * @param path the path of the page
+     * @param content makes the page
+     */
+    public void addPage(InetSocketAddress address, String path, Supplier<SidePage> content) {
+        ServerConnector side =
+                new ServerConnector(server, 0, 1, new HttpConnectionFactory(newConfiguration()));
+        side.setHost(address.getAddress().getHostAddress());
+        side.setPort(address.getPort());
+        side.setIdleTimeout(options.idleTimeoutMilliseconds());
+        server.addConnector(side);
+        pages.add(side, path, content);
+    }
+
     /** Starts to listen. */
     public void start() {
         try {
@@ -113,6 +168,16 @@
         handler.refuseNewRequests();
     }
 
+    /** Ends each connection with its next answer; requests are still taken. */
+    public void closeConnections() {
+        handler.closeConnections();
+    }
+
+    /** Takes no new connections from now on. */
+    public void stopListening() {
+        connector.close();
+    }
+
     /** Refuses new requests, waits for those in progress up to the limit, and stops to listen. */
     public void stop() {
         refuseNewRequests();
@@ -124,4 +189,24 @@
             throw new ResultException(ResultCode.INVARIANT_VIOLATED, "caller server", failure);
         }
     }
+
+    /** Makes end points that notice when a caller leaves. */
+    private static final class WatchingConnector extends ServerConnector {
+
+        private static final int ACCEPTORS = 0;
+        private static final int SELECTORS = 1;
+
+        private WatchingConnector(Server server, HttpConnectionFactory factory) {
+            super(server, ACCEPTORS, SELECTORS, factory);
+        }
+
+        @Override
+        protected SocketChannelEndPoint newEndPoint(
+                SocketChannel channel, ManagedSelector selector, SelectionKey key) {
+            SocketChannelEndPoint endPoint =
+                    new WatchedEndPoint(channel, selector, key, getScheduler(), getExecutor());
+            endPoint.setIdleTimeout(getIdleTimeout());
+            return endPoint;
+        }
+    }
 }
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/ProtocolRefusals.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/ProtocolRefusals.java
@@ -11,12 +11,17 @@
 /** Gives a result code to requests that are refused before they reach a handler. */
 final class ProtocolRefusals extends ErrorHandler {
 
+    private final AnswerWriter writer;
+
+    ProtocolRefusals(AnswerWriter writer) {
+        this.writer = writer;
+    }
+
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
         ResultCode code = codeOf(response.getStatus());
         Object message = request.getAttribute(ERROR_MESSAGE);
-        AnswerWriter.write(
-                new ResultException(code, String.valueOf(message)), null, response, callback);
+        writer.write(new ResultException(code, String.valueOf(message)), null, response, callback);
         return true;
     }
 
--- a/daemon/src/main/java/org/siskinramp/daemon/commandline/EntryHostCommand.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/commandline/EntryHostCommand.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import org.kohsuke.args4j.Option;
+import org.siskinramp.daemon.settings.Settings;
 import org.siskinramp.daemon.settings.SettingsFile;
 import org.siskinramp.daemon.settings.SettingsReport;
 
@@ -19,7 +20,7 @@
 
     @Override
     ExitStatus run(Console console) {
-        SettingsReport report = SettingsFile.check(settings);
+        SettingsReport<Settings> report = SettingsFile.check(settings);
         if (!report.isValid()) {
             return SettingsCheckCommand.printFaults(report, settings, console);
         }
--- a/daemon/src/main/java/org/siskinramp/daemon/commandline/SettingsCheckCommand.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/commandline/SettingsCheckCommand.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import org.kohsuke.args4j.Argument;
+import org.siskinramp.daemon.settings.Settings;
 import org.siskinramp.daemon.settings.SettingsFault;
 import org.siskinramp.daemon.settings.SettingsFile;
 import org.siskinramp.daemon.settings.SettingsReport;
@@ -16,7 +17,7 @@
 
     @Override
     ExitStatus run(Console console) {
-        SettingsReport report = SettingsFile.check(settings);
+        SettingsReport<Settings> report = SettingsFile.check(settings);
         if (!report.isValid()) {
             return printFaults(report, settings, console);
         }
@@ -24,7 +25,7 @@
         return ExitStatus.SUCCESS;
     }
 
-    static ExitStatus printFaults(SettingsReport report, Path file, Console console) {
+    static ExitStatus printFaults(SettingsReport<?> report, Path file, Console console) {
         report.faults().forEach(fault -> console.errors().println(faultLine(fault, file)));
         return ExitStatus.FAILURE;
     }
--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/Exchange.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/Exchange.java
@@ -240,7 +240,8 @@
         if (status < FIRST_FINAL_STATUS) {
             return false;
         }
-        return request.method().equals("HEAD")
+        return request.isEndByCloseAllowed()
+                || request.method().equals("HEAD")
                 || status == NO_CONTENT
                 || status == NOT_MODIFIED
                 || response.getHeaders().contains(HttpHeader.CONTENT_LENGTH)
--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/ExchangeRequest.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/ExchangeRequest.java
@@ -27,6 +27,7 @@
     private final BooleanSupplier permission;
     private final Predicate<ExchangeAnswer> answerCheck;
     private final IdentityCheck identityCheck;
+    private final boolean endByCloseAllowed;
 
     private ExchangeRequest(Builder builder) {
         address = builder.address;
@@ -39,6 +40,7 @@
         permission = Objects.requireNonNull(builder.permission, "permission");
         answerCheck = Objects.requireNonNull(builder.answerCheck, "answerCheck");
         identityCheck = Objects.requireNonNull(builder.identityCheck, "identityCheck");
+        endByCloseAllowed = builder.endByCloseAllowed;
     }
 
     /**
@@ -96,6 +98,10 @@
         return identityCheck;
     }
 
+    boolean isEndByCloseAllowed() {
+        return endByCloseAllowed;
+    }
+
     /** Makes the request that asks for the identity of the server, with the same deadline. */
     ExchangeRequest identityQuestion() {
         return new Builder(address)
@@ -118,6 +124,7 @@
         private BooleanSupplier permission = () -> true;
         private Predicate<ExchangeAnswer> answerCheck = answer -> true;
         private IdentityCheck identityCheck = IdentityCheck.NONE;
+        private boolean endByCloseAllowed;
 
         private Builder(ServerAddress address) {
             this.address = address;
@@ -222,6 +229,17 @@
             return this;
         }
 
+        /**
+         * Sets whether the close of the connection may end an answer that names no length.
+         *
+         * @param value true to take such an answer as whole
+         * @return this builder
+         */
+        public Builder endByCloseAllowed(boolean value) {
+            endByCloseAllowed = value;
+            return this;
+        }
+
         /**
          * Builds the request.
          *
--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/gateway/GatewayDaemon.java
@@ -0,0 +1,289 @@
+package org.siskinramp.daemon.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Objects;
+import org.siskinramp.daemon.backend.JettyBackendServerLink;
+import org.siskinramp.daemon.caller.CallerServer;
+import org.siskinramp.daemon.caller.SidePage;
+import org.siskinramp.daemon.metrics.Metrics;
+import org.siskinramp.daemon.settings.GatewaySettings;
+import org.siskinramp.daemon.worker.Workers;
+import org.siskinramp.follow.ChangeFollower;
+import org.siskinramp.gateway.Gateway;
+import org.siskinramp.log.EventLog;
+import org.siskinramp.log.LogEvent;
+import org.siskinramp.time.Clock;
+
+/** Starts and stops the parts of a gateway in order. */
+public final class GatewayDaemon {
+
+    private static final long TICK_MILLISECONDS = 500;
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    private static final String TEXT = "text/plain";
+
+    private final GatewaySettings settings;
+    private final Gateway gateway;
+    private final CallerServer callers;
+    private final JettyBackendServerLink backendServers;
+    private final List<ChangeFollower<?>> followers;
+    private final List<Runnable> starts;
+    private final Metrics metrics;
+    private final Workers workers;
+    private final EventLog eventLog;
+    private final GatewayStop plannedStop;
+    private volatile boolean stopping;
+
+    private GatewayDaemon(Builder builder) {
+        settings = Objects.requireNonNull(builder.settings, "settings");
+        gateway = Objects.requireNonNull(builder.gateway, "gateway");
+        callers = Objects.requireNonNull(builder.callers, "callers");
+        backendServers = Objects.requireNonNull(builder.backendServers, "backendServers");
+        followers = List.copyOf(builder.followers);
+        starts = List.copyOf(builder.starts);
+        metrics = Objects.requireNonNull(builder.metrics, "metrics");
+        workers = Objects.requireNonNull(builder.workers, "workers");
+        eventLog = Objects.requireNonNull(builder.eventLog, "eventLog");
+        plannedStop =
+                new GatewayStop(
+                        gateway,
+                        callers,
+                        builder.graceMilliseconds,
+                        Objects.requireNonNull(builder.clock, "clock"),
+                        workers,
+                        eventLog);
+    }
+
+    /**
+     * Starts to describe a daemon.
+     *
+     * @return an empty builder
+     */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /**
+     * Starts all parts. Callers are listened to first: until routes are known they are told to come
+     * back.
+     *
+     * @param readinessPath the path of the page that tells whether this host is ready
+     * @param metricsPath the path of the metrics
+     */
+    public void start(String readinessPath, String metricsPath) {
+        callers.addPage(settings.pages().readiness(), readinessPath, this::readiness);
+        callers.addPage(settings.pages().metrics(), metricsPath, this::exposition);
+        registerGauges();
+        callers.start();
+        backendServers.start();
+        starts.forEach(Runnable::run);
+        followers.forEach(ChangeFollower::start);
+        workers.schedule(TICK_MILLISECONDS, this::tick);
+        eventLog.record(
+                LogEvent.named("started")
+                        .with("caller_address", settings.callers().address())
+                        .with("store", settings.store().address())
+                        .with("routing", settings.routing())
+                        .with("operator_figures", settings.operatorFigures()));
+    }
+
+    private void registerGauges() {
+        metrics.register(
+                "siskinramp_configuration_version",
+                "Version of the routes in force.",
+                () -> gateway.routes().version());
+        metrics.register(
+                "siskinramp_requests_in_progress",
+                "Requests that have not ended.",
+                gateway::inProgress);
+        metrics.register(
+                "siskinramp_requests_waiting",
+                "Requests that wait for a backend server.",
+                gateway::waiting);
+        metrics.register(
+                "siskinramp_backend_servers_usable",
+                "Backend servers that may get new requests.",
+                gateway::usableServers);
+    }
+
+    private void tick() {
+        try {
+            gateway.tick();
+        } finally {
+            workers.schedule(TICK_MILLISECONDS, this::tick);
+        }
+    }
+
+    private SidePage readiness() {
+        boolean ready = isReady();
+        byte[] body = (ready ? "ready\n" : "not ready\n").getBytes(StandardCharsets.UTF_8);
+        return new SidePage(ready ? OK : UNAVAILABLE, TEXT, body);
+    }
+
+    /** A host is ready once it knows routes and servers, and until it stops. */
+    private boolean isReady() {
+        return !stopping
+                && gateway.routes().version() > 0
+                && followers.stream().allMatch(ChangeFollower::isSynced);
+    }
+
+    private SidePage exposition() {
+        return new SidePage(OK, Metrics.CONTENT_TYPE, metrics.exposition());
+    }
+
+    /** Stops without cutting requests, as far as the grace time allows. */
+    public void stop() {
+        stopping = true;
+        plannedStop.run();
+        followers.forEach(ChangeFollower::stop);
+    }
+
+    /** Collects the parts of a daemon. */
+    public static final class Builder {
+
+        private GatewaySettings settings;
+        private Gateway gateway;
+        private CallerServer callers;
+        private JettyBackendServerLink backendServers;
+        private List<ChangeFollower<?>> followers = List.of();
+        private List<Runnable> starts = List.of();
+        private Metrics metrics;
+        private Workers workers;
+        private EventLog eventLog;
+        private Clock clock;
+        private long graceMilliseconds;
+
+        private Builder() {}
+
+        /**
+         * Sets the settings.
+         *
+         * @param value the checked settings
+         * @return this builder
+         */
+        public Builder settings(GatewaySettings value) {
+            settings = value;
+            return this;
+        }
+
+        /**
+         * Sets the gateway.
+         *
+         * @param value decides
+         * @return this builder
+         */
+        public Builder gateway(Gateway value) {
+            gateway = value;
+            return this;
+        }
+
+        /**
+         * Sets the caller side.
+         *
+         * @param value listens for callers
+         * @return this builder
+         */
+        public Builder callers(CallerServer value) {
+            callers = value;
+            return this;
+        }
+
+        /**
+         * Sets the link to backend servers.
+         *
+         * @param value sends attempts and probes
+         * @return this builder
+         */
+        public Builder backendServers(JettyBackendServerLink value) {
+            backendServers = value;
+            return this;
+        }
+
+        /**
+         * Sets the followers of the store's tables.
+         *
+         * @param value the followers
+         * @return this builder
+         */
+        public Builder followers(List<ChangeFollower<?>> value) {
+            followers = value;
+            return this;
+        }
+
+        /**
+         * Sets what else is started before the followers.
+         *
+         * @param value the actions
+         * @return this builder
+         */
+        public Builder starts(List<Runnable> value) {
+            starts = value;
+            return this;
+        }
+
+        /**
+         * Sets the metrics.
+         *
+         * @param value the metrics
+         * @return this builder
+         */
+        public Builder metrics(Metrics value) {
+            metrics = value;
+            return this;
+        }
+
+        /**
+         * Sets the workers.
+         *
+         * @param value runs delayed tasks
+         * @return this builder
+         */
+        public Builder workers(Workers value) {
+            workers = value;
+            return this;
+        }
+
+        /**
+         * Sets the event log.
+         *
+         * @param value receives events
+         * @return this builder
+         */
+        public Builder eventLog(EventLog value) {
+            eventLog = value;
+            return this;
+        }
+
+        /**
+         * Sets the clock.
+         *
+         * @param value tells the time
+         * @return this builder
+         */
+        public Builder clock(Clock value) {
+            clock = value;
+            return this;
+        }
+
+        /**
+         * Sets how long a planned stop may take.
+         *
+         * @param value milliseconds
+         * @return this builder
+         */
+        public Builder graceMilliseconds(long value) {
+            graceMilliseconds = value;
+            return this;
+        }
+
+        /**
+         * Builds the daemon.
+         *
+         * @return the daemon, which must be started
+         */
+        public GatewayDaemon build() {
+            return new GatewayDaemon(this);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/gateway/GatewayStop.java
@@ -0,0 +1,78 @@
+package org.siskinramp.daemon.gateway;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.siskinramp.daemon.caller.CallerServer;
+import org.siskinramp.gateway.Gateway;
+import org.siskinramp.log.EventLog;
+import org.siskinramp.log.LogEvent;
+import org.siskinramp.time.Clock;
+import org.siskinramp.time.Scheduler;
+
+/**
+ * Ends the work of a gateway ahead of a planned stop: connections end with their next answer, new
+ * ones are taken until callers have learnt that this host is not ready, and requests in progress
+ * end before the process does.
+ */
+final class GatewayStop {
+
+    /**
+     * How long requests are still taken. The platform asks every second and takes a host out after
+     * two answers; one more second lets the last new connections send their request.
+     */
+    private static final long TAKING_MILLISECONDS = 3_000;
+
+    /** What is left of the grace time for the end of the process itself. */
+    private static final long EXIT_MILLISECONDS = 350;
+
+    private static final long POLL_MILLISECONDS = 20;
+
+    private final Gateway gateway;
+    private final CallerServer callers;
+    private final long graceMilliseconds;
+    private final Clock clock;
+    private final Scheduler scheduler;
+    private final EventLog eventLog;
+
+    GatewayStop(
+            Gateway gateway,
+            CallerServer callers,
+            long graceMilliseconds,
+            Clock clock,
+            Scheduler scheduler,
+            EventLog eventLog) {
+        this.gateway = gateway;
+        this.callers = callers;
+        this.graceMilliseconds = graceMilliseconds;
+        this.clock = clock;
+        this.scheduler = scheduler;
+        this.eventLog = eventLog;
+    }
+
+    /** Returns once no request is in progress or the grace time is nearly over. */
+    void run() {
+        long begun = clock.monotonicMilliseconds();
+        long end = begun + graceMilliseconds - EXIT_MILLISECONDS;
+        eventLog.record(
+                LogEvent.named("stop")
+                        .with("grace_ms", graceMilliseconds)
+                        .with("requests_in_progress", gateway.inProgress()));
+        callers.closeConnections();
+        awaitUntil(Math.min(end, begun + TAKING_MILLISECONDS), () -> false);
+        callers.stopListening();
+        callers.refuseNewRequests();
+        awaitUntil(end, () -> callers.openRequests() == 0);
+        eventLog.record(
+                LogEvent.named("stopped")
+                        .with("requests_cut", callers.openRequests())
+                        .with("took_ms", clock.monotonicMilliseconds() - begun));
+    }
+
+    private void awaitUntil(long end, BooleanSupplier condition) {
+        while (!condition.getAsBoolean() && clock.monotonicMilliseconds() < end) {
+            CompletableFuture<Void> passed = new CompletableFuture<>();
+            scheduler.schedule(POLL_MILLISECONDS, () -> passed.complete(null));
+            passed.join();
+        }
+    }
+}
--- a/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsFile.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsFile.java
@@ -5,7 +5,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.function.Function;
 import org.tomlj.Toml;
+import org.tomlj.TomlParseResult;
 
 /**
  * Reads settings files.
@@ -24,7 +26,22 @@
      * @param file the file; relative paths in it start at its directory
      * @return the settings, or all faults at once
      */
-    public static SettingsReport check(Path file) {
+    public static SettingsReport<Settings> check(Path file) {
+        return check(file, parsed -> new SettingsReader(file, parsed).read());
+    }
+
+    /**
+     * Reads the settings file of a gateway and checks every key of it.
+     *
+     * @param file the file
+     * @return the settings, or all faults at once
+     */
+    public static SettingsReport<GatewaySettings> checkGateway(Path file) {
+        return check(file, parsed -> new GatewaySettingsReader(file, parsed).read());
+    }
+
+    private static <S> SettingsReport<S> check(
+            Path file, Function<TomlParseResult, SettingsReport<S>> reader) {
         String text;
         try {
             text = Files.readString(file);
@@ -33,10 +50,10 @@
         } catch (IOException failure) {
             return unreadable(file, "cannot be read");
         }
-        return new SettingsReader(file, Toml.parse(text)).read();
+        return reader.apply(Toml.parse(text));
     }
 
-    private static SettingsReport unreadable(Path file, String problem) {
+    private static <S> SettingsReport<S> unreadable(Path file, String problem) {
         return SettingsReport.invalid(
                 file,
                 List.of(
--- a/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsReader.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import org.tomlj.TomlParseError;
 import org.tomlj.TomlParseResult;
 
 /** Turns a parsed settings file into settings and collects its faults. */
@@ -35,8 +34,8 @@
         this.parsed = parsed;
     }
 
-    SettingsReport read() {
-        parsed.errors().forEach(this::addSyntaxFault);
+    SettingsReport<Settings> read() {
+        SettingsFault.ofSyntax(parsed).forEach(faults::add);
         Settings settings =
                 new Settings(
                         readHost(),
@@ -48,7 +47,7 @@
                         readControl(),
                         readRouting(),
                         readLog());
-        addUnknownSections();
+        SettingsSection.unknownSections(parsed, SECTIONS).forEach(faults::add);
         if (faults.isEmpty()) {
             return SettingsReport.valid(file, settings);
         }
@@ -153,20 +152,4 @@
     private SettingsSection section(String name) {
         return new SettingsSection(parsed, name, faults);
     }
-
-    private void addSyntaxFault(TomlParseError error) {
-        faults.add(
-                new SettingsFault(
-                        SettingsFault.NO_KEY,
-                        error.position().line(),
-                        "malformed TOML: " + error.getMessage(),
-                        "TOML 1.0"));
-    }
-
-    private void addUnknownSections() {
-        parsed.keySet().stream()
-                .filter(key -> !SECTIONS.contains(key))
-                .map(key -> SettingsSection.unknown(parsed, List.of(key), SECTIONS))
-                .forEach(faults::add);
-    }
 }
--- a/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsReport.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsReport.java
@@ -7,25 +7,29 @@
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.result.ResultException;
 
-/** Holds what the check of a settings file found: the settings, or every fault. */
-public final class SettingsReport {
+/**
+ * Holds what the check of a settings file found: the settings, or every fault.
+ *
+ * @param <S> the type of the settings
+ */
+public final class SettingsReport<S> {
 
     private final Path file;
-    private final Settings settings;
+    private final S settings;
     private final List<SettingsFault> faults;
 
-    private SettingsReport(Path file, Settings settings, List<SettingsFault> faults) {
+    private SettingsReport(Path file, S settings, List<SettingsFault> faults) {
         this.file = file;
         this.settings = settings;
         this.faults = List.copyOf(faults);
     }
 
-    static SettingsReport valid(Path file, Settings settings) {
-        return new SettingsReport(file, Objects.requireNonNull(settings, "settings"), List.of());
+    static <S> SettingsReport<S> valid(Path file, S settings) {
+        return new SettingsReport<>(file, Objects.requireNonNull(settings, "settings"), List.of());
     }
 
-    static SettingsReport invalid(Path file, List<SettingsFault> faults) {
-        return new SettingsReport(file, null, faults);
+    static <S> SettingsReport<S> invalid(Path file, List<SettingsFault> faults) {
+        return new SettingsReport<>(file, null, faults);
     }
 
     /**
@@ -53,7 +57,7 @@
      * @throws ResultException with {@link ResultCode#SETTINGS_INVALID} and all faults if there are
      *     any
      */
-    public Settings settings() {
+    public S settings() {
         if (!isValid()) {
             String all =
                     faults.stream().map(SettingsFault::toString).collect(Collectors.joining(" | "));
--- a/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsSection.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsSection.java
@@ -7,7 +7,9 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
@@ -106,6 +108,32 @@
         return number.intValue();
     }
 
+    /** Reads all keys of this section as figures, whatever their names; truth counts as one. */
+    Map<String, Double> figures() {
+        Map<String, Double> figures = new TreeMap<>();
+        if (isTable) {
+            for (String key : parsed.getTable(List.of(name)).keySet()) {
+                Object value = value(key);
+                if (value instanceof Number number) {
+                    figures.put(key, number.doubleValue());
+                } else if (value instanceof Boolean truth) {
+                    figures.put(key, truth ? 1.0 : 0.0);
+                } else {
+                    addFault(key, "has the wrong type", "a number, true or false");
+                }
+            }
+        }
+        return figures;
+    }
+
+    /** Returns a fault for each section that is not known. */
+    static List<SettingsFault> unknownSections(TomlParseResult parsed, List<String> known) {
+        return parsed.keySet().stream()
+                .filter(key -> !known.contains(key))
+                .map(key -> unknown(parsed, List.of(key), known))
+                .toList();
+    }
+
     LogLevel logLevel(String key, LogLevel standard) {
         return choice(key, LogLevel.values(), LogLevel::word, standard, "is not a level");
     }
--- a/daemon/src/test/java/org/siskinramp/daemon/settings/SettingsFileTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/settings/SettingsFileTest.java
@@ -78,7 +78,7 @@
 
     @Test
     void everyFaultIsReportedAtOnceWithKeyLineAndWhatIsAllowed() throws IOException {
-        SettingsReport report =
+        SettingsReport<Settings> report =
                 check(
                         """
                         hosts = 3
@@ -121,31 +121,32 @@
 
     @Test
     void malformedTomlIsReportedByLineWithoutKeysThatOnlySeemToBeMissing() throws IOException {
-        SettingsReport report = check("[host\nname = \"a\"\n[log]\nlevl = 3\nlevel = = 3\n");
+        SettingsReport<Settings> report =
+                check("[host\nname = \"a\"\n[log]\nlevl = 3\nlevel = = 3\n");
 
         assertEquals(List.of("1 -", "4 log.levl", "5 -"), places(report));
     }
 
     @Test
     void aValueInPlaceOfASectionIsAFault() throws IOException {
-        SettingsReport report = check("workers = 4\n" + MINIMAL);
+        SettingsReport<Settings> report = check("workers = 4\n" + MINIMAL);
 
         assertEquals(List.of("1 workers"), places(report));
     }
 
     @Test
     void anAbsentFileIsAFaultWithTheCodeOfInvalidSettings() {
-        SettingsReport report = SettingsFile.check(directory.resolve("absent.toml"));
+        SettingsReport<Settings> report = SettingsFile.check(directory.resolve("absent.toml"));
 
         ResultException failure = assertThrows(ResultException.class, report::settings);
         assertEquals(ResultCode.SETTINGS_INVALID, failure.code());
     }
 
-    private SettingsReport check(String text) throws IOException {
+    private SettingsReport<Settings> check(String text) throws IOException {
         return SettingsFile.check(Files.writeString(directory.resolve("settings.toml"), text));
     }
 
-    private static List<String> places(SettingsReport report) {
+    private static List<String> places(SettingsReport<?> report) {
         return report.faults().stream().map(fault -> fault.line() + " " + fault.key()).toList();
     }
 }
--- a/daemon/src/test/java/org/siskinramp/daemon/settings/SettingsPageTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/settings/SettingsPageTest.java
@@ -106,7 +106,7 @@
         return line.isEmpty() ? toml : toml + section + "." + line + "\n";
     }
 
-    private SettingsReport check(String toml) throws IOException {
+    private SettingsReport<Settings> check(String toml) throws IOException {
         Path file = directory.resolve("settings.toml");
         Files.writeString(file, toml);
         return SettingsFile.check(file);
--- a/library/src/main/java/org/siskinramp/attempt/AttemptFailure.java
+++ b/library/src/main/java/org/siskinramp/attempt/AttemptFailure.java
@@ -12,12 +12,16 @@
     SHED(true),
     /** The server said that it did not run the request because it is leaving. */
     LEAVING(true),
+    /** Another server has the address; it said that it did not run the request. */
+    WRONG_SERVER(true),
     /** The connection broke after the first byte was sent. */
     CONNECTION_BROKEN(false),
     /** The body of the answer ended early. */
     ANSWER_INCOMPLETE(false),
     /** The answer names another request. */
     ANSWER_CROSSED(false),
+    /** The answer lacks the proof that it is the server's own, or promises what it cannot. */
+    ANSWER_UNPROVEN(false),
     /** The answer is larger than the limit. */
     ANSWER_TOO_LARGE(false),
     /** No whole answer came before the deadline. */
@@ -39,4 +43,13 @@
     public boolean isNotRun() {
         return notRun;
     }
+
+    /**
+     * Tells whether the request reached the server, as far as is known.
+     *
+     * @return false if no byte of it was sent
+     */
+    public boolean isArrival() {
+        return this != NOT_PERMITTED && this != CONNECTION_REFUSED && this != CONNECTION_TIMED_OUT;
+    }
 }
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/fleet/KnownServer.java
@@ -0,0 +1,278 @@
+package org.siskinramp.fleet;
+
+import org.siskinramp.attempt.LoadReport;
+import org.siskinramp.configuration.BackendServer;
+
+/**
+ * Keeps what this host believes of one backend server: its entry, its last load report, and how its
+ * recent attempts ended. It is guarded by the lock of its owner.
+ */
+public final class KnownServer {
+
+    /** The first time for which a server that failed is passed over; it doubles each time. */
+    private static final long FIRST_SUSPICION_MILLISECONDS = 100;
+
+    /** The longest such time. It stays below the time in which a crashed server is back. */
+    private static final long LONGEST_SUSPICION_MILLISECONDS = 1_600;
+
+    /**
+     * The time in which the memory of failures fades to a third, as the server gets no requests.
+     */
+    private static final double FAILURE_MEMORY_MILLISECONDS = 1_500;
+
+    /** How much the end of one attempt moves the share of failures. */
+    private static final double FAILURE_WEIGHT = 0.2;
+
+    /** The share of failed attempts from which a server is passed over while others are free. */
+    private static final double FAILING_SHARE = 0.3;
+
+    private ServerEntry entry;
+    private long coldUntil;
+    private long goneAt = Long.MAX_VALUE;
+    private int running = LoadReport.UNKNOWN;
+    private int waiting;
+    private int pacePercent = 100;
+    private long seenAt = Long.MIN_VALUE / 2;
+    private int sentSinceSeen;
+    private int inFlight;
+    private int probes;
+    private boolean silent;
+    private long suspectUntil = Long.MIN_VALUE / 2;
+    private long suspicion = FIRST_SUSPICION_MILLISECONDS;
+    private boolean ill;
+    private double failureShare;
+    private long failedAt;
+
+    KnownServer(ServerEntry entry, long now) {
+        this.entry = entry;
+        this.coldUntil = now + entry.coldMilliseconds();
+    }
+
+    void follow(ServerEntry newer, long now) {
+        if (newer.bornMilliseconds() != entry.bornMilliseconds()) {
+            forget();
+        }
+        entry = newer;
+        goneAt = Long.MAX_VALUE;
+        coldUntil = newer.coldMilliseconds() > 0 ? now + newer.coldMilliseconds() : coldUntil;
+    }
+
+    private void forget() {
+        running = LoadReport.UNKNOWN;
+        seenAt = Long.MIN_VALUE / 2;
+        suspectUntil = Long.MIN_VALUE / 2;
+        suspicion = FIRST_SUSPICION_MILLISECONDS;
+        failureShare = 0;
+    }
+
+    void leaveAt(long milliseconds) {
+        goneAt = Math.min(goneAt, milliseconds);
+    }
+
+    boolean isGone(long now) {
+        return now >= goneAt;
+    }
+
+    /**
+     * Returns its entry.
+     *
+     * @return the newest entry
+     */
+    public ServerEntry entry() {
+        return entry;
+    }
+
+    /**
+     * Returns its description.
+     *
+     * @return the backend server
+     */
+    public BackendServer server() {
+        return entry.server();
+    }
+
+    /**
+     * Tells whether it may get new requests at all.
+     *
+     * @param now monotonic milliseconds
+     * @return false once it drains or its entry is gone
+     */
+    public boolean isPresent(long now) {
+        return !entry.leaving() && !isGone(now);
+    }
+
+    /**
+     * Tells whether it is cold.
+     *
+     * @param now monotonic milliseconds
+     * @return true while it bears only a few requests a second
+     */
+    public boolean isCold(long now) {
+        return now < coldUntil;
+    }
+
+    /**
+     * Tells whether it should be passed over while others are free.
+     *
+     * @param now monotonic milliseconds
+     * @return true after failures, and while it says that it is ill
+     */
+    public boolean isSuspect(long now) {
+        return ill || now < suspectUntil || failureShare(now) > FAILING_SHARE;
+    }
+
+    private double failureShare(long now) {
+        return failureShare * Math.exp((failedAt - now) / FAILURE_MEMORY_MILLISECONDS);
+    }
+
+    /**
+     * Returns the age of the last load report.
+     *
+     * @param now monotonic milliseconds
+     * @return milliseconds
+     */
+    public long sightAge(long now) {
+        return now - seenAt;
+    }
+
+    /**
+     * Tells whether it has told its load.
+     *
+     * @return true if a load report is known
+     */
+    public boolean tellsLoad() {
+        return running >= 0;
+    }
+
+    /**
+     * Estimates how many requests it is running, those that this host sent since the report
+     * included.
+     *
+     * @return the estimate, not below the number of this host's own requests
+     */
+    public int occupied() {
+        return Math.max(inFlight, Math.max(0, running) + Math.max(0, waiting) + sentSinceSeen);
+    }
+
+    /**
+     * Returns how long work takes on it.
+     *
+     * @return percent, where 100 is usual
+     */
+    public int pacePercent() {
+        return pacePercent;
+    }
+
+    /**
+     * Counts the requests of this host that it is running.
+     *
+     * @return the requests in flight
+     */
+    public int inFlight() {
+        return inFlight;
+    }
+
+    /**
+     * Tells whether a probe is on its way.
+     *
+     * @return true until the probe ends
+     */
+    public boolean isProbed() {
+        return probes > 0;
+    }
+
+    /**
+     * Tells whether asking it for its load is of no use.
+     *
+     * @return true if it answered and never told its load
+     */
+    public boolean isSilent() {
+        return silent;
+    }
+
+    /** Notes that a probe was sent. */
+    public void beginProbe() {
+        probes++;
+    }
+
+    /** Notes that a probe ended. */
+    public void endProbe() {
+        probes--;
+    }
+
+    /** Notes that a request was sent. */
+    public void beginRequest() {
+        inFlight++;
+        sentSinceSeen++;
+    }
+
+    /**
+     * Notes that a request ended.
+     *
+     * @param sentAt when it was sent, in monotonic milliseconds
+     */
+    public void endRequest(long sentAt) {
+        inFlight--;
+        if (sentAt >= seenAt) {
+            sentSinceSeen = Math.max(0, sentSinceSeen - 1);
+        } else if (running > 0) {
+            running--;
+        }
+    }
+
+    /**
+     * Takes a load report in.
+     *
+     * @param report what the server told
+     * @param now monotonic milliseconds
+     */
+    public void see(LoadReport report, long now) {
+        silent = !report.tellsLoad() && running < 0;
+        if (report.tellsLoad()) {
+            running = report.requestsInProgress();
+            waiting = Math.max(0, report.requestsWaiting());
+            pacePercent = report.pacePercent() > 0 ? report.pacePercent() : 100;
+            seenAt = now;
+            sentSinceSeen = 0;
+        }
+        if (report.coldMilliseconds() >= 0) {
+            coldUntil = now + report.coldMilliseconds();
+        }
+    }
+
+    /**
+     * Notes what its health check told.
+     *
+     * @param healthy false if it says that it drains or fails
+     */
+    public void tellHealth(boolean healthy) {
+        ill = !healthy;
+    }
+
+    /** Notes that it answered as it should. */
+    public void succeed() {
+        suspicion = FIRST_SUSPICION_MILLISECONDS;
+        failureShare -= FAILURE_WEIGHT * failureShare;
+    }
+
+    /**
+     * Notes that it answered with a failure, or not as it should.
+     *
+     * @param now monotonic milliseconds
+     */
+    public void fail(long now) {
+        double faded = failureShare(now);
+        failureShare = faded + FAILURE_WEIGHT * (1 - faded);
+        failedAt = now;
+    }
+
+    /**
+     * Notes that it could not be reached or broke off, and passes it over for a while.
+     *
+     * @param now monotonic milliseconds
+     */
+    public void suspect(long now) {
+        suspectUntil = now + suspicion;
+        suspicion = Math.min(2 * suspicion, LONGEST_SUSPICION_MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/follow/ChangeFollower.java
@@ -0,0 +1,260 @@
+package org.siskinramp.follow;
+
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.siskinramp.log.EventLog;
+import org.siskinramp.log.LogEvent;
+import org.siskinramp.result.Futures;
+import org.siskinramp.result.ResultCode;
+import org.siskinramp.result.ResultException;
+import org.siskinramp.time.Clock;
+import org.siskinramp.time.Scheduler;
+
+/**
+ * Follows one table: reads it once, then its changes, and all of it again once the store has
+ * dropped the changes in between. Calls are paced, and further apart while the store fails.
+ *
+ * @param <T> the type of an item
+ */
+public final class ChangeFollower<T> {
+
+    /** Far longer than a lost answer needs to be noticed, so that a blip costs one call. */
+    private static final long FIRST_PAUSE_MILLISECONDS = 100;
+
+    /** Half of the time in which changes have to be in force after an outage. */
+    private static final long LONGEST_PAUSE_MILLISECONDS = 1_000;
+
+    private static final int DOUBLINGS_AT_MOST = 4;
+    private static final long UNKNOWN = -1;
+
+    private final String name;
+    private final ChangeSource<T> source;
+    private final Consumer<Changes<T>> listener;
+    private final long intervalMilliseconds;
+    private final long waitMilliseconds;
+    private final Clock clock;
+    private final Scheduler scheduler;
+    private final EventLog eventLog;
+    private long version = UNKNOWN;
+    private long askedAt;
+    private int failures;
+    private long regainedAt = Long.MIN_VALUE / 2;
+    private volatile boolean synced;
+    private volatile boolean stopped;
+
+    private ChangeFollower(Builder<T> builder) {
+        name = Objects.requireNonNull(builder.name, "name");
+        source = Objects.requireNonNull(builder.source, "source");
+        listener = Objects.requireNonNull(builder.listener, "listener");
+        intervalMilliseconds = builder.intervalMilliseconds;
+        waitMilliseconds = builder.waitMilliseconds;
+        clock = Objects.requireNonNull(builder.clock, "clock");
+        scheduler = Objects.requireNonNull(builder.scheduler, "scheduler");
+        eventLog = Objects.requireNonNull(builder.eventLog, "eventLog");
+    }
+
+    /**
+     * Starts to describe a follower.
+     *
+     * @param name the name of the table in log lines
+     * @param source reads the table
+     * @param listener takes what was read
+     * @param <T> the type of an item
+     * @return a builder, which needs clock, scheduler and event log
+     */
+    public static <T> Builder<T> builder(
+            String name, ChangeSource<T> source, Consumer<Changes<T>> listener) {
+        Builder<T> builder = new Builder<>();
+        builder.name = name;
+        builder.source = source;
+        builder.listener = listener;
+        return builder;
+    }
+
+    /** Starts to follow. */
+    public void start() {
+        ask();
+    }
+
+    /** Stops to follow. */
+    public void stop() {
+        stopped = true;
+    }
+
+    /**
+     * Tells whether the table was read since the start.
+     *
+     * @return true after the first whole read
+     */
+    public boolean isSynced() {
+        return synced;
+    }
+
+    /**
+     * Returns how long ago the store was reached again after a failure.
+     *
+     * @return milliseconds, a long time if there was no failure
+     */
+    public synchronized long sinceRegainedMilliseconds() {
+        return failures > 0 ? 0 : clock.monotonicMilliseconds() - regainedAt;
+    }
+
+    private void ask() {
+        if (stopped) {
+            return;
+        }
+        long from;
+        synchronized (this) {
+            askedAt = clock.monotonicMilliseconds();
+            from = version;
+        }
+        CompletableFuture<Changes<T>> answer =
+                from == UNKNOWN ? source.readAll() : source.changesAfter(from, waitMilliseconds);
+        Futures.whenDone(
+                answer,
+                (changes, failure) -> {
+                    if (failure == null) {
+                        take(changes);
+                    } else {
+                        failed(ResultException.from(failure));
+                    }
+                });
+    }
+
+    private void take(Changes<T> changes) {
+        long pause;
+        synchronized (this) {
+            if (failures > 0) {
+                regainedAt = clock.monotonicMilliseconds();
+                eventLog.record(
+                        LogEvent.named("store_regained")
+                                .with("table", name)
+                                .with("failures", failures)
+                                .with("version", changes.version()));
+                failures = 0;
+            }
+            version = changes.version();
+            pause = Math.max(0, askedAt + intervalMilliseconds - clock.monotonicMilliseconds());
+        }
+        try {
+            listener.accept(changes);
+            synced = true;
+        } finally {
+            scheduler.schedule(pause, this::ask);
+        }
+    }
+
+    private void failed(ResultException failure) {
+        long pause = 0;
+        synchronized (this) {
+            boolean historyGone = failure.code() == ResultCode.HISTORY_GONE && version != UNKNOWN;
+            if (historyGone) {
+                eventLog.record(
+                        LogEvent.named("store_history_gone")
+                                .with("table", name)
+                                .with("version", version));
+                version = UNKNOWN;
+            } else {
+                pause = FIRST_PAUSE_MILLISECONDS << Math.min(failures, DOUBLINGS_AT_MOST);
+                failures++;
+                logLoss(failure);
+            }
+        }
+        scheduler.schedule(Math.min(pause, LONGEST_PAUSE_MILLISECONDS), this::ask);
+    }
+
+    private void logLoss(ResultException failure) {
+        if (failures == 1) {
+            eventLog.record(
+                    LogEvent.named("store_lost")
+                            .with("table", name)
+                            .with("version", version)
+                            .with("result_code", failure.code().number())
+                            .with("cause", failure.getMessage()));
+        }
+    }
+
+    /**
+     * Collects the parts of a follower.
+     *
+     * @param <T> the type of an item
+     */
+    public static final class Builder<T> {
+
+        private String name;
+        private ChangeSource<T> source;
+        private Consumer<Changes<T>> listener;
+        private long intervalMilliseconds = 1_000;
+        private long waitMilliseconds;
+        private Clock clock;
+        private Scheduler scheduler;
+        private EventLog eventLog;
+
+        private Builder() {}
+
+        /**
+         * Sets the least time between two calls.
+         *
+         * @param value milliseconds
+         * @return this builder
+         */
+        public Builder<T> intervalMilliseconds(long value) {
+            intervalMilliseconds = value;
+            return this;
+        }
+
+        /**
+         * Sets how long a call waits for the first change.
+         *
+         * @param value milliseconds, 0 for an answer at once
+         * @return this builder
+         */
+        public Builder<T> waitMilliseconds(long value) {
+            waitMilliseconds = value;
+            return this;
+        }
+
+        /**
+         * Sets the clock.
+         *
+         * @param value tells the time
+         * @return this builder
+         */
+        public Builder<T> clock(Clock value) {
+            clock = value;
+            return this;
+        }
+
+        /**
+         * Sets the scheduler.
+         *
+         * @param value runs delayed calls
+         * @return this builder
+         */
+        public Builder<T> scheduler(Scheduler value) {
+            scheduler = value;
+            return this;
+        }
+
+        /**
+         * Sets the event log.
+         *
+         * @param value is told when the store is lost and regained
+         * @return this builder
+         */
+        public Builder<T> eventLog(EventLog value) {
+            eventLog = value;
+            return this;
+        }
+
+        /**
+         * Builds the follower.
+         *
+         * @return the follower, which must be started
+         */
+        public ChangeFollower<T> build() {
+            return new ChangeFollower<>(this);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/follow/GatewayFeed.java
@@ -0,0 +1,77 @@
+package org.siskinramp.follow;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.LongSupplier;
+import org.siskinramp.fleet.ServerEntry;
+import org.siskinramp.gateway.Gateway;
+
+/** Gives a gateway what the followed tables tell. Each method is called by one follower only. */
+public final class GatewayFeed {
+
+    /** A live server publishes itself again within two seconds after the store is back. */
+    private static final long REPUBLISH_MILLISECONDS = 2_300;
+
+    private final Gateway gateway;
+    private final Set<String> evacuated = new TreeSet<>();
+
+    /**
+     * Creates a feed.
+     *
+     * @param gateway the gateway
+     */
+    public GatewayFeed(Gateway gateway) {
+        this.gateway = gateway;
+    }
+
+    /**
+     * Takes entries of backend servers.
+     *
+     * @param changes what was read
+     * @param sinceRegained tells how long ago the store was reached again, in milliseconds
+     */
+    public void takeServers(Changes<ServerChange> changes, LongSupplier sinceRegained) {
+        long kept = Math.max(0, REPUBLISH_MILLISECONDS - sinceRegained.getAsLong());
+        if (changes.whole()) {
+            List<ServerEntry> entries =
+                    changes.items().stream()
+                            .map(ServerChange::entry)
+                            .flatMap(Optional::stream)
+                            .toList();
+            gateway.putAll(entries, kept);
+            return;
+        }
+        for (ServerChange change : changes.items()) {
+            change.entry().ifPresentOrElse(gateway::put, () -> gateway.remove(change.name(), kept));
+        }
+    }
+
+    /**
+     * Takes what operators set.
+     *
+     * @param changes what was read
+     */
+    public void takeOperator(Changes<OperatorChange> changes) {
+        if (changes.whole()) {
+            evacuated.clear();
+        }
+        for (OperatorChange change : changes.items()) {
+            if (change instanceof OperatorChange.Routes routes) {
+                gateway.follow(routes.routes());
+            } else if (change instanceof OperatorChange.Evacuation evacuation) {
+                follow(evacuation);
+            }
+        }
+        gateway.evacuate(Set.copyOf(evacuated));
+    }
+
+    private void follow(OperatorChange.Evacuation evacuation) {
+        if (evacuation.evacuated()) {
+            evacuated.add(evacuation.availabilityZone());
+        } else {
+            evacuated.remove(evacuation.availabilityZone());
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
@@ -0,0 +1,163 @@
+package org.siskinramp.gateway;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import org.siskinramp.attempt.Attempt;
+import org.siskinramp.attempt.AttemptAnswer;
+import org.siskinramp.attempt.AttemptException;
+import org.siskinramp.attempt.AttemptFailure;
+import org.siskinramp.fleet.Fleet;
+import org.siskinramp.fleet.KnownServer;
+import org.siskinramp.log.Counter;
+import org.siskinramp.log.LogEvent;
+import org.siskinramp.result.Futures;
+import org.siskinramp.routing.Effects;
+
+/** Sends attempts and takes their ends in. It is guarded by the lock of the gateway. */
+final class AttemptDesk {
+
+    private static final AtomicLong NEXT_NUMBER = new AtomicLong(1);
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    private final GatewayEnvironment environment;
+    private final Fleet fleet;
+    private final Locked locked;
+    private final EndListener listener;
+    private final Map<Long, Open> open = new HashMap<>();
+
+    AttemptDesk(GatewayEnvironment environment, Fleet fleet, Locked locked, EndListener listener) {
+        this.environment = environment;
+        this.fleet = fleet;
+        this.locked = locked;
+        this.listener = listener;
+    }
+
+    /** Decides what follows the end of an attempt. */
+    interface EndListener {
+
+        /** Takes the end of an attempt in; the answer is null if the attempt failed. */
+        void ended(Open attempt, AttemptAnswer answer, AttemptVerdict verdict, Effects effects);
+    }
+
+    /** Describes an attempt on its way. */
+    record Open(GatewayRun run, KnownServer server, long number, long sentAt, int occupied) {}
+
+    void start(GatewayRun run, KnownServer server, String reason, Effects effects) {
+        long now = environment.clock().monotonicMilliseconds();
+        long number = NEXT_NUMBER.getAndIncrement();
+        log(run, server, number, reason, now);
+        server.beginRequest();
+        run.beginAttempt(number, server.server().name());
+        open.put(number, new Open(run, server, number, now, server.occupied()));
+        environment.counters().add(Counter.ATTEMPTS);
+        Attempt attempt =
+                new Attempt(
+                        number,
+                        run.request(),
+                        server.server(),
+                        run.request().deadlineMilliseconds(),
+                        server.isCold(now),
+                        "",
+                        () -> isPermitted(number));
+        effects.add(
+                () ->
+                        Futures.whenDone(
+                                environment.backendServerLink().dispatch(attempt),
+                                (answer, failure) ->
+                                        locked.run(held -> ended(number, answer, failure, held))));
+    }
+
+    private boolean isPermitted(long number) {
+        boolean[] permitted = new boolean[1];
+        locked.run(
+                effects -> {
+                    Open attempt = open.get(number);
+                    long now = environment.clock().monotonicMilliseconds();
+                    permitted[0] =
+                            attempt != null
+                                    && !attempt.run().isEnded()
+                                    && fleet.isUsable(attempt.server(), now);
+                });
+        return permitted[0];
+    }
+
+    private void ended(long number, AttemptAnswer answer, Throwable failure, Effects effects) {
+        Open attempt = open.remove(number);
+        if (attempt == null) {
+            return;
+        }
+        attempt.server().endRequest(attempt.sentAt());
+        boolean idempotent = attempt.run().route().isIdempotent();
+        if (failure == null) {
+            answered(attempt, answer, idempotent, effects);
+        } else {
+            failed(attempt, AttemptException.from(failure), idempotent, effects);
+        }
+    }
+
+    private void answered(Open attempt, AttemptAnswer answer, boolean idempotent, Effects effects) {
+        long now = environment.clock().monotonicMilliseconds();
+        int status = answer.answer().status();
+        attempt.server().see(answer.loadReport(), now);
+        if (status >= FIRST_SERVER_ERROR) {
+            attempt.server().fail(now);
+        } else {
+            attempt.server().succeed();
+        }
+        attempt.run().endAttempt(attempt.number(), true, true);
+        logEnd(attempt, "answered_" + status, now);
+        listener.ended(attempt, answer, AttemptVerdict.ofAnswer(status, idempotent), effects);
+    }
+
+    private void failed(
+            Open attempt, AttemptException failure, boolean idempotent, Effects effects) {
+        long now = environment.clock().monotonicMilliseconds();
+        AttemptFailure kind = failure.failure();
+        attempt.server().see(failure.loadReport(), now);
+        if (!kind.isArrival() || kind == AttemptFailure.WRONG_SERVER) {
+            attempt.server().suspect(now);
+        } else if (kind != AttemptFailure.CANCELLED) {
+            attempt.server().fail(now);
+        }
+        attempt.run().endAttempt(attempt.number(), kind.isArrival(), !kind.isNotRun());
+        logEnd(attempt, kind.name().toLowerCase(java.util.Locale.ROOT), now);
+        listener.ended(attempt, null, AttemptVerdict.ofFailure(kind, idempotent), effects);
+    }
+
+    void cancel(GatewayRun run, Effects effects) {
+        for (long number : run.openAttempts()) {
+            effects.add(() -> environment.backendServerLink().cancel(number));
+        }
+    }
+
+    private void log(GatewayRun run, KnownServer server, long number, String reason, long now) {
+        environment
+                .eventLog()
+                .record(
+                        LogEvent.named("place")
+                                .with("request", run.request().key().requestId())
+                                .with("service", run.request().service())
+                                .with("backend_server", server.server().name())
+                                .with("to_availability_zone", server.server().availabilityZone())
+                                .with("attempt", number)
+                                .with("reason", reason)
+                                .with("occupied", server.occupied())
+                                .with("pace_percent", server.pacePercent())
+                                .with("sight_age_ms", server.sightAge(now))
+                                .with("waited_ms", run.waitedMilliseconds(now))
+                                .with("rounds", run.rounds()));
+    }
+
+    private void logEnd(Open attempt, String outcome, long now) {
+        environment
+                .eventLog()
+                .record(
+                        LogEvent.named("attempt_end")
+                                .with("request", attempt.run().request().key().requestId())
+                                .with("backend_server", attempt.server().server().name())
+                                .with("attempt", attempt.number())
+                                .with("outcome", outcome)
+                                .with("took_ms", now - attempt.sentAt()));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/gateway/PlacementChoice.java
@@ -0,0 +1,82 @@
+package org.siskinramp.gateway;
+
+import java.util.List;
+import java.util.Optional;
+import org.siskinramp.fleet.KnownServer;
+
+/**
+ * Chooses the backend server that gets a request, among those whose load is known. Answers machines
+ * that turn several times slower for moments: a server that is slow now, nearly full or in another
+ * availability zone is charged the time that this is expected to cost.
+ */
+final class PlacementChoice {
+
+    /**
+     * The most that a slow machine is expected to cost. Its neighbours' load changes several times
+     * a second, so a slow server is likely to be fast again before the work ends.
+     */
+    private static final double SLOWNESS_LIMIT_MILLISECONDS = 110;
+
+    /** How much longer work is expected to take on a nearly full server, as a share of it. */
+    private static final double CROWDED_SHARE = 0.5;
+
+    private static final double USUAL_PACE_PERCENT = 100;
+
+    private final String availabilityZone;
+    private final ConcurrencyLimit limit;
+
+    PlacementChoice(String availabilityZone, ConcurrencyLimit limit) {
+        this.availabilityZone = availabilityZone;
+        this.limit = limit;
+    }
+
+    /**
+     * Chooses the server with the lowest expected cost.
+     *
+     * @param servers servers whose load is known
+     * @param typicalMilliseconds how long such work usually takes
+     * @param crossZoneMilliseconds what it costs to cross into another availability zone
+     * @return the choice, or empty if all are full
+     */
+    Optional<Choice> choose(
+            List<KnownServer> servers, long typicalMilliseconds, double crossZoneMilliseconds) {
+        Choice best = null;
+        for (KnownServer server : servers) {
+            if (!hasRoom(server)) {
+                continue;
+            }
+            double cost = cost(server, typicalMilliseconds, crossZoneMilliseconds);
+            if (best == null || cost < best.costMilliseconds()) {
+                best = new Choice(server, cost);
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Tells whether a server runs fewer requests than serves most. */
+    boolean hasRoom(KnownServer server) {
+        return server.occupied() < limit.limit(server.server().slots());
+    }
+
+    boolean isOwnZone(KnownServer server) {
+        return server.server().availabilityZone().equals(availabilityZone);
+    }
+
+    private double cost(KnownServer server, long typicalMilliseconds, double crossZone) {
+        double slower = Math.max(0, server.pacePercent() / USUAL_PACE_PERCENT - 1);
+        double slowness = Math.min(SLOWNESS_LIMIT_MILLISECONDS, slower * typicalMilliseconds);
+        boolean crowded = server.occupied() >= ConcurrencyLimit.uncrowded(server.server().slots());
+        return slowness
+                + (crowded ? CROWDED_SHARE * typicalMilliseconds : 0)
+                + (isOwnZone(server) ? 0 : crossZone);
+    }
+
+    /**
+     * Names a server and what is expected to be lost by choosing it.
+     *
+     * @param server the server
+     * @param costMilliseconds the expected cost in milliseconds, 0 for a free and fast server of
+     *     the own availability zone
+     */
+    record Choice(KnownServer server, double costMilliseconds) {}
+}
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/gateway/SearchDesk.java
@@ -0,0 +1,260 @@
+package org.siskinramp.gateway;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.IntSupplier;
+import org.siskinramp.attempt.AttemptException;
+import org.siskinramp.attempt.LoadReport;
+import org.siskinramp.fleet.KnownServer;
+import org.siskinramp.log.Counter;
+import org.siskinramp.queue.WaitingQueue;
+import org.siskinramp.result.Futures;
+import org.siskinramp.routing.Effects;
+
+/**
+ * Looks for backend servers with room, by asking a few for their load at a time. A search begins
+ * for one waiting request, and what it finds goes to the most urgent one. It is guarded by the lock
+ * of the gateway.
+ */
+final class SearchDesk {
+
+    /** Searches at once for a service; more would ask the same servers again. */
+    private static final int SEARCHES_AT_MOST = 6;
+
+    /** A load report this young is used without asking again; pace changes within 150 ms. */
+    private static final long FRESH_MILLISECONDS = 8;
+
+    /** The age up to which load reports of earlier rounds are compared with new ones. */
+    private static final long SEEN_MILLISECONDS = 40;
+
+    /** The age up to which load reports are used when no more probes may be sent. */
+    private static final long OLD_SIGHT_MILLISECONDS = 400;
+
+    /** How long a round waits for probes that do not answer, once one was answered. */
+    private static final long ROUND_MILLISECONDS = 15;
+
+    /** A round ends with what it has after this time; a silent server is then suspect. */
+    private static final long LONGEST_ROUND_MILLISECONDS = 60;
+
+    private static final long FIRST_PAUSE_MILLISECONDS = 2;
+    private static final int ROUNDS_TO_LONGEST_PAUSE = 4;
+    private static final long LONGEST_PAUSE_MILLISECONDS = 30;
+
+    /** A placement that is expected to lose no more than this is taken without comparing. */
+    private static final double NO_LOSS_MILLISECONDS = 5;
+
+    /** The part of the time that a request has left which a placement may cost. */
+    private static final double ACCEPTED_PART = 0.25;
+
+    /** A server of another availability zone is charged this, above its slowness. */
+    private static final double CROSS_ZONE_MILLISECONDS = 30;
+
+    /** Unused probes are kept for this time, so that a burst may use them. */
+    private static final double PROBE_STORE_SECONDS = 6;
+
+    private final ServicePool pool;
+    private final GatewayEnvironment environment;
+    private final GatewayOptions options;
+    private final Locked locked;
+    private final IntSupplier hosts;
+    private final TokenBucket probeBudget;
+    private int searches;
+
+    SearchDesk(
+            ServicePool pool,
+            GatewayEnvironment environment,
+            GatewayOptions options,
+            Locked locked,
+            IntSupplier hosts) {
+        this.pool = pool;
+        this.environment = environment;
+        this.options = options;
+        this.locked = locked;
+        this.hosts = hosts;
+        probeBudget = new TokenBucket(options.candidates() * SEARCHES_AT_MOST, now());
+    }
+
+    /** Starts searches for waiting requests that have none. */
+    void startFor(WaitingQueue<GatewayRun> queue, Effects effects) {
+        while (searches < SEARCHES_AT_MOST) {
+            Optional<GatewayRun> next = queue.findFirst(run -> !run.isSearching());
+            if (next.isEmpty()) {
+                return;
+            }
+            searches++;
+            next.get().setSearching(true);
+            look(next.get(), effects);
+        }
+    }
+
+    private void end(GatewayRun run) {
+        searches--;
+        run.setSearching(false);
+    }
+
+    private void look(GatewayRun run, Effects effects) {
+        if (!run.isWaiting()) {
+            end(run);
+            pool.pump(effects);
+            return;
+        }
+        List<KnownServer> servers = pool.serversFor(run);
+        Optional<PlacementChoice.Choice> known =
+                choose(run, servers, FRESH_MILLISECONDS).filter(choice -> isGood(choice, run));
+        if (known.isPresent() && pool.place(known.get().server(), "fresh_sight", effects)) {
+            end(run);
+            return;
+        }
+        List<KnownServer> asked =
+                CandidateChoice.choose(servers, options.candidates(), now(), environment.random());
+        if (asked.isEmpty() || !takeProbes(asked.size(), servers.size())) {
+            conclude(run, OLD_SIGHT_MILLISECONDS, effects);
+            return;
+        }
+        ask(new Round(run, asked.size()), asked, effects);
+    }
+
+    private boolean takeProbes(int count, int servers) {
+        double perSecond =
+                options.probesPerServerSecond()
+                        * Math.max(1, Math.max(servers, pool.scope().size(now())))
+                        / Math.max(1, hosts.getAsInt());
+        return probeBudget.take(count, now(), perSecond, perSecond * PROBE_STORE_SECONDS);
+    }
+
+    private void ask(Round round, List<KnownServer> asked, Effects effects) {
+        environment.counters().add(Counter.PROBES, asked.size());
+        for (KnownServer server : asked) {
+            server.beginProbe();
+            effects.add(
+                    () ->
+                            Futures.whenDone(
+                                    environment.backendServerLink().probe(server.server()),
+                                    (report, failure) ->
+                                            locked.run(
+                                                    held ->
+                                                            answered(
+                                                                    round, server, report, failure,
+                                                                    held))));
+        }
+        effects.add(() -> scheduleEnd(round, ROUND_MILLISECONDS));
+        effects.add(() -> scheduleEnd(round, LONGEST_ROUND_MILLISECONDS));
+    }
+
+    private void scheduleEnd(Round round, long delay) {
+        environment
+                .scheduler()
+                .schedule(
+                        delay,
+                        () ->
+                                locked.run(
+                                        effects -> {
+                                            boolean last = delay == LONGEST_ROUND_MILLISECONDS;
+                                            if (!round.concluded && (last || round.answers > 0)) {
+                                                conclude(round, effects);
+                                            }
+                                        }));
+    }
+
+    private void answered(
+            Round round,
+            KnownServer server,
+            LoadReport report,
+            Throwable failure,
+            Effects effects) {
+        server.endProbe();
+        round.open--;
+        long now = now();
+        if (failure == null) {
+            round.answers++;
+            server.see(report, now);
+            server.tellHealth(!report.leaving());
+        } else {
+            AttemptException cause = AttemptException.from(failure);
+            server.see(cause.loadReport(), now);
+            server.suspect(now);
+        }
+        if (!round.concluded && (round.open == 0 || hasGood(round, server))) {
+            conclude(round, effects);
+        }
+    }
+
+    private boolean hasGood(Round round, KnownServer server) {
+        GatewayRun run = round.run;
+        return choose(run, List.of(server), FRESH_MILLISECONDS)
+                .filter(choice -> choice.costMilliseconds() <= NO_LOSS_MILLISECONDS)
+                .isPresent();
+    }
+
+    private void conclude(Round round, Effects effects) {
+        round.concluded = true;
+        conclude(round.run, SEEN_MILLISECONDS, effects);
+    }
+
+    private void conclude(GatewayRun run, long sightLimit, Effects effects) {
+        if (!run.isWaiting()) {
+            end(run);
+            pool.pump(effects);
+            return;
+        }
+        Optional<PlacementChoice.Choice> choice =
+                choose(run, pool.serversFor(run), sightLimit)
+                        .filter(found -> run.rounds() > 0 || isGood(found, run));
+        if (choice.isPresent() && pool.place(choice.get().server(), "search", effects)) {
+            end(run);
+            pool.pump(effects);
+            return;
+        }
+        long pause =
+                run.rounds() < ROUNDS_TO_LONGEST_PAUSE
+                        ? FIRST_PAUSE_MILLISECONDS << run.rounds()
+                        : LONGEST_PAUSE_MILLISECONDS;
+        run.countRound();
+        effects.add(
+                () ->
+                        environment
+                                .scheduler()
+                                .schedule(pause, () -> locked.run(held -> look(run, held))));
+    }
+
+    /** Chooses among the servers whose load is known well enough. */
+    private Optional<PlacementChoice.Choice> choose(
+            GatewayRun run, List<KnownServer> servers, long sightLimit) {
+        long now = now();
+        List<KnownServer> seen =
+                servers.stream().filter(server -> server.sightAge(now) <= sightLimit).toList();
+        List<KnownServer> usable = seen.isEmpty() ? silent(servers, sightLimit) : seen;
+        return pool.placement()
+                .choose(usable, pool.typicalMilliseconds(run), CROSS_ZONE_MILLISECONDS);
+    }
+
+    /** Servers that never told their load are judged by this host's own requests. */
+    private static List<KnownServer> silent(List<KnownServer> servers, long sightLimit) {
+        if (sightLimit == FRESH_MILLISECONDS) {
+            return List.of();
+        }
+        return servers.stream().filter(server -> !server.tellsLoad()).toList();
+    }
+
+    private boolean isGood(PlacementChoice.Choice choice, GatewayRun run) {
+        return choice.costMilliseconds() <= ACCEPTED_PART * (run.latestStart() - now());
+    }
+
+    private long now() {
+        return environment.clock().monotonicMilliseconds();
+    }
+
+    /** Follows the probes of one round. */
+    private static final class Round {
+
+        private final GatewayRun run;
+        private int open;
+        private int answers;
+        private boolean concluded;
+
+        private Round(GatewayRun run, int open) {
+            this.run = run;
+            this.open = open;
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/gateway/TokenBucket.java
@@ -0,0 +1,36 @@
+package org.siskinramp.gateway;
+
+/** Bounds how often something happens: a steady rate, and a store of what was not used. */
+final class TokenBucket {
+
+    private static final double MILLISECONDS_PER_SECOND = 1_000;
+
+    private double tokens;
+    private long filledAt;
+
+    /** Starts with some tokens. */
+    TokenBucket(double tokens, long now) {
+        this.tokens = tokens;
+        this.filledAt = now;
+    }
+
+    /**
+     * Takes tokens if there are enough.
+     *
+     * @param wanted how many
+     * @param now monotonic milliseconds
+     * @param perSecond the rate at which tokens come back
+     * @param capacity how many are kept at most
+     * @return true if they were taken
+     */
+    boolean take(double wanted, long now, double perSecond, double capacity) {
+        tokens =
+                Math.min(capacity, tokens + (now - filledAt) * perSecond / MILLISECONDS_PER_SECOND);
+        filledAt = now;
+        if (tokens < wanted) {
+            return false;
+        }
+        tokens -= wanted;
+        return true;
+    }
+}
--- a/library/src/main/java/org/siskinramp/log/Counter.java
+++ b/library/src/main/java/org/siskinramp/log/Counter.java
@@ -14,6 +14,8 @@
     REQUESTS_FAILED,
     /** Non-idempotent requests answered with a kept answer. */
     REQUESTS_REPLAYED,
+    /** Requests whose caller left before the answer. */
+    CALLERS_LEFT,
     /** Attempts sent to backend servers. */
     ATTEMPTS,
     /** Second attempts of idempotent requests. */
--- a/library/src/main/java/org/siskinramp/queue/WaitingQueue.java
+++ b/library/src/main/java/org/siskinramp/queue/WaitingQueue.java
@@ -46,6 +46,16 @@
         return Optional.empty();
     }
 
+    /**
+     * Finds the first element that is accepted, and leaves it in the queue.
+     *
+     * @param accepted what to look for
+     * @return the element, or empty if none is accepted
+     */
+    public Optional<T> findFirst(Predicate<T> accepted) {
+        return entries.stream().map(Entry::element).filter(accepted).findFirst();
+    }
+
     /**
      * Removes and returns the elements whose deadline is at or before a time.
      *
--- a/library/src/main/java/org/siskinramp/result/ResultCode.java
+++ b/library/src/main/java/org/siskinramp/result/ResultCode.java
@@ -50,6 +50,8 @@
     SHED(217, 503, true, "the backend servers shed this request without running it"),
     /** The body did not arrive in time. */
     REQUEST_INCOMPLETE(218, 408, true, "the request did not arrive whole in time"),
+    /** This host does not know the routes yet. */
+    ROUTES_UNKNOWN(219, 503, true, "this entry host does not know the routes yet"),
 
     /** A non-idempotent request may have run, at most once. */
     OUTCOME_UNKNOWN(301, 502, false, "the request may have run, at most once"),
@@ -99,7 +101,11 @@
     /** A condition of a transaction did not hold. */
     CONDITION_FAILED(604, 409, true, "a condition of the transaction does not hold"),
     /** The platform gave no answer, so a write may or may not have taken effect. */
-    PLATFORM_ANSWER_LOST(605, 504, false, "the platform's answer was lost");
+    PLATFORM_ANSWER_LOST(605, 504, false, "the platform's answer was lost"),
+    /** The platform no longer has the changes since a version. */
+    HISTORY_GONE(606, 410, true, "the platform dropped the changes since this version"),
+    /** An entry or a configuration of another writer cannot be read. */
+    ENTRY_INVALID(607, 400, true, "an entry of the platform cannot be read");
 
     private final int number;
     private final int httpStatus;
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/route/RouteTable.java
@@ -0,0 +1,107 @@
+package org.siskinramp.route;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Holds one version of all routes, services and limits. It never changes. */
+public final class RouteTable {
+
+    private final long version;
+    private final Map<String, Map<String, Route>> routesByPrefixByHost = new HashMap<>();
+    private final Map<String, RoutedService> services = new HashMap<>();
+    private final CallerLimits limits;
+    private final int routeCount;
+
+    /**
+     * Creates a table.
+     *
+     * @param version the version, which rises with every change
+     * @param routes all routes
+     * @param services the services that the routes name
+     * @param limits the limits for callers
+     */
+    public RouteTable(
+            long version,
+            Collection<Route> routes,
+            Collection<RoutedService> services,
+            CallerLimits limits) {
+        this.version = version;
+        this.limits = limits;
+        this.routeCount = routes.size();
+        for (Route route : routes) {
+            routesByPrefixByHost
+                    .computeIfAbsent(route.host(), host -> new HashMap<>())
+                    .put(route.prefix(), route);
+        }
+        services.forEach(service -> this.services.put(service.name(), service));
+    }
+
+    /**
+     * Returns the version.
+     *
+     * @return the version
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Returns the limits for callers.
+     *
+     * @return the limits
+     */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /**
+     * Counts the routes.
+     *
+     * @return how many routes there are
+     */
+    public int routeCount() {
+        return routeCount;
+    }
+
+    /**
+     * Returns the services.
+     *
+     * @return all services, in no order
+     */
+    public Collection<RoutedService> services() {
+        return List.copyOf(services.values());
+    }
+
+    /**
+     * Finds a service.
+     *
+     * @param name its name
+     * @return the service
+     */
+    public Optional<RoutedService> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /**
+     * Finds the route of a request: the one of its host with the longest prefix of its path.
+     *
+     * @param host the host that the request names, without a port
+     * @param path the path without the query
+     * @return the route
+     */
+    public Optional<Route> find(String host, String path) {
+        Map<String, Route> byPrefix = routesByPrefixByHost.getOrDefault(host, Map.of());
+        for (int slash = path.lastIndexOf('/');
+                slash >= 0;
+                slash = path.lastIndexOf('/', slash - 1)) {
+            Route route = byPrefix.get(path.substring(0, slash + 1));
+            if (route != null) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- a/library/src/main/java/org/siskinramp/routing/Effects.java
+++ b/library/src/main/java/org/siskinramp/routing/Effects.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /** Collects what has to happen after a lock is released. */
-final class Effects {
+public final class Effects {
 
     private final List<Runnable> actions = new ArrayList<>();
 
@@ -13,12 +13,12 @@
      *
      * @param action what to run after the lock is released
      */
-    void add(Runnable action) {
+    public void add(Runnable action) {
         actions.add(action);
     }
 
     /** Runs all actions in order. */
-    void run() {
+    public void run() {
         actions.forEach(Runnable::run);
     }
 }
--- a/library/src/main/java/org/siskinramp/routing/ServerObserver.java
+++ b/library/src/main/java/org/siskinramp/routing/ServerObserver.java
@@ -123,7 +123,12 @@
                 server.health().recordSlow(now - attempt.startedAt());
                 recordFailure(server, now);
             }
-            case CONNECTION_TIMED_OUT, ANSWER_INCOMPLETE, ANSWER_CROSSED, ANSWER_TOO_LARGE ->
+            case CONNECTION_TIMED_OUT,
+                    WRONG_SERVER,
+                    ANSWER_INCOMPLETE,
+                    ANSWER_CROSSED,
+                    ANSWER_UNPROVEN,
+                    ANSWER_TOO_LARGE ->
                     recordFailure(server, now);
         }
     }
