--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/HttpExchanger.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/HttpExchanger.java
@@ -58,7 +58,7 @@
     }
 
     private static HttpClient newClient(String name, ExchangeOptions options) {
-        ClientConnector connector = new ClientConnector();
+        ClientConnector connector = new StrictConnector();
         connector.setSelectors(1);
         HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
         QueuedThreadPool threads = new QueuedThreadPool(options.threads(), 4);
--- /dev/null
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/StrictConnector.java
@@ -0,0 +1,59 @@
+package org.siskinramp.daemon.exchange;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * Opens connections on which a reset is a failure. By default it reads as the end of the stream,
+ * which would make an answer without a length look whole.
+ */
+final class StrictConnector extends ClientConnector {
+
+    @Override
+    protected EndPoint newEndPoint(
+            SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
+        return new StrictEndPoint((SocketChannel) channel, selector, key, getScheduler());
+    }
+
+    private static final class StrictEndPoint extends SocketChannelEndPoint {
+
+        private static final int END = -1;
+
+        private StrictEndPoint(
+                SocketChannel channel,
+                ManagedSelector selector,
+                SelectionKey key,
+                Scheduler scheduler) {
+            super(channel, selector, key, scheduler);
+        }
+
+        @Override
+        public int fill(ByteBuffer buffer) throws IOException {
+            if (isInputShutdown()) {
+                return END;
+            }
+            int position = BufferUtil.flipToFill(buffer);
+            int filled;
+            try {
+                filled = getChannel().read(buffer);
+            } finally {
+                BufferUtil.flipToFlush(buffer, position);
+            }
+            if (filled > 0) {
+                notIdle();
+            } else if (filled == END) {
+                shutdownInput();
+            }
+            return filled;
+        }
+    }
+}
--- a/daemon/src/main/java/org/siskinramp/daemon/gateway/GatewayDaemon.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/gateway/GatewayDaemon.java
@@ -83,6 +83,7 @@
         eventLog.record(
                 LogEvent.named("started")
                         .with("caller_address", settings.callers().address())
+                        .with("caller_port", callers.port())
                         .with("store", settings.store().address())
                         .with("routing", settings.routing())
                         .with("operator_figures", settings.operatorFigures()));
--- /dev/null
+++ b/daemon/src/test/java/org/siskinramp/daemon/exchange/AnswerEndTest.java
@@ -0,0 +1,80 @@
+package org.siskinramp.daemon.exchange;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.siskinramp.attempt.AttemptException;
+import org.siskinramp.attempt.AttemptFailure;
+import org.siskinramp.time.Clock;
+import org.siskinramp.time.SystemClock;
+
+class AnswerEndTest {
+
+    private static final String UNFRAMED = "HTTP/1.1 200 OK\r\n\r\nbody";
+
+    private final Clock clock = new SystemClock();
+    private final HttpExchanger exchanger = newExchanger();
+    private ScriptedServer server;
+
+    private HttpExchanger newExchanger() {
+        HttpExchanger created =
+                new HttpExchanger(
+                        "test",
+                        ExchangeOptions.builder().build(),
+                        clock,
+                        (delay, task) ->
+                                CompletableFuture.delayedExecutor(delay, TimeUnit.MILLISECONDS)
+                                        .execute(task),
+                        event -> {},
+                        (counter, amount) -> {});
+        created.start();
+        return created;
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        exchanger.stop();
+        server.close();
+    }
+
+    @Test
+    void aCloseEndsAnAnswerWithoutALengthWhereThatIsAllowed() throws Exception {
+        server = new ScriptedServer(request -> UNFRAMED + ScriptedServer.CLOSE);
+        assertArrayEquals("body".getBytes(StandardCharsets.UTF_8), ask(true).join().body());
+    }
+
+    @Test
+    void aCloseDoesNotEndAnAnswerWithoutALengthElsewhere() throws Exception {
+        server = new ScriptedServer(request -> UNFRAMED + ScriptedServer.CLOSE);
+        assertEquals(AttemptFailure.ANSWER_INCOMPLETE, failureOf(ask(false)));
+    }
+
+    @Test
+    void aResetNeverEndsAnAnswerWithoutALength() throws Exception {
+        server = new ScriptedServer(request -> UNFRAMED + ScriptedServer.RESET);
+        assertEquals(AttemptFailure.ANSWER_INCOMPLETE, failureOf(ask(true)));
+    }
+
+    private CompletableFuture<ExchangeAnswer> ask(boolean endByCloseAllowed) {
+        return exchanger
+                .send(
+                        ExchangeRequest.to(server.address())
+                                .deadlineMilliseconds(clock.monotonicMilliseconds() + 5_000)
+                                .endByCloseAllowed(endByCloseAllowed)
+                                .build())
+                .answer();
+    }
+
+    private static AttemptFailure failureOf(CompletableFuture<ExchangeAnswer> answer) {
+        CompletionException failure = assertThrows(CompletionException.class, answer::join);
+        return AttemptException.from(failure).failure();
+    }
+}
--- a/daemon/src/test/java/org/siskinramp/daemon/exchange/ScriptedServer.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/exchange/ScriptedServer.java
@@ -21,6 +21,11 @@
     /** Makes the server close the connection; may follow an answer. */
     public static final String CLOSE = "\0";
 
+    private static final long RESET_DELAY_MILLISECONDS = 50;
+
+    /** Makes the server reset the connection; may follow an answer. */
+    public static final String RESET = "\1";
+
     /** Writes out an answer. */
     public static String reply(String status, String body, String... headers) {
         String lines = String.join("\r\n", headers);
@@ -90,10 +95,16 @@
             while (request != null) {
                 requests.add(request);
                 String reply = script.apply(request);
-                int end = reply.indexOf(CLOSE);
+                int reset = reply.indexOf(RESET);
+                int end = Math.max(reset, reply.indexOf(CLOSE));
                 String text = end < 0 ? reply : reply.substring(0, end);
                 socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
                 socket.getOutputStream().flush();
+                if (reset >= 0) {
+                    // Lets the bytes be read first, which a reset would drop.
+                    Thread.sleep(RESET_DELAY_MILLISECONDS);
+                    socket.setSoLinger(true, 0);
+                }
                 if (end >= 0) {
                     return;
                 }
@@ -102,6 +113,8 @@
             ended.incrementAndGet();
         } catch (IOException gone) {
             ended.incrementAndGet();
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
         }
     }
 
--- a/library/src/main/java/org/siskinramp/gateway/PlacementChoice.java
+++ b/library/src/main/java/org/siskinramp/gateway/PlacementChoice.java
@@ -11,12 +11,6 @@
  */
 final class PlacementChoice {
 
-    /**
-     * The most that a slow machine is expected to cost. Its neighbours' load changes several times
-     * a second, so a slow server is likely to be fast again before the work ends.
-     */
-    private static final double SLOWNESS_LIMIT_MILLISECONDS = 110;
-
     /** How much longer work is expected to take on a nearly full server, as a share of it. */
     private static final double CROWDED_SHARE = 0.5;
 
@@ -64,7 +58,7 @@
 
     private double cost(KnownServer server, long typicalMilliseconds, double crossZone) {
         double slower = Math.max(0, server.pacePercent() / USUAL_PACE_PERCENT - 1);
-        double slowness = Math.min(SLOWNESS_LIMIT_MILLISECONDS, slower * typicalMilliseconds);
+        double slowness = slower * typicalMilliseconds;
         boolean crowded = server.occupied() >= ConcurrencyLimit.uncrowded(server.server().slots());
         return slowness
                 + (crowded ? CROWDED_SHARE * typicalMilliseconds : 0)
--- a/library/src/main/java/org/siskinramp/gateway/SearchDesk.java
+++ b/library/src/main/java/org/siskinramp/gateway/SearchDesk.java
@@ -21,11 +21,13 @@
     /** Searches at once for a service; more would ask the same servers again. */
     private static final int SEARCHES_AT_MOST = 6;
 
-    /** A load report this young is used without asking again; pace changes within 150 ms. */
-    private static final long FRESH_MILLISECONDS = 8;
+    /**
+     * A load report this young is used without asking again: pace changes several times a second.
+     */
+    private static final long FRESH_MILLISECONDS = 3;
 
     /** The age up to which load reports of earlier rounds are compared with new ones. */
-    private static final long SEEN_MILLISECONDS = 40;
+    private static final long SEEN_MILLISECONDS = 6;
 
     /** The age up to which load reports are used when no more probes may be sent. */
     private static final long OLD_SIGHT_MILLISECONDS = 400;
@@ -46,6 +48,9 @@
     /** The part of the time that a request has left which a placement may cost. */
     private static final double ACCEPTED_PART = 0.25;
 
+    /** The part of its possible wait in which a request takes only servers that lose little. */
+    private static final double PATIENCE_PART = 0.3;
+
     /** A server of another availability zone is charged this, above its slowness. */
     private static final double CROSS_ZONE_MILLISECONDS = 30;
 
@@ -199,7 +204,7 @@
         }
         Optional<PlacementChoice.Choice> choice =
                 choose(run, pool.serversFor(run), sightLimit)
-                        .filter(found -> run.rounds() > 0 || isGood(found, run));
+                        .filter(found -> isGood(found, run) || isOutOfPatience(run));
         if (choice.isPresent() && pool.place(choice.get().server(), "search", effects)) {
             end(run);
             pool.pump(effects);
@@ -236,6 +241,13 @@
         return servers.stream().filter(server -> !server.tellsLoad()).toList();
     }
 
+    /** A request takes any server with room once it has waited for a part of what it may. */
+    private boolean isOutOfPatience(GatewayRun run) {
+        long now = now();
+        long waited = run.waitedMilliseconds(now);
+        return waited > PATIENCE_PART * (waited + run.latestStart() - now);
+    }
+
     private boolean isGood(PlacementChoice.Choice choice, GatewayRun run) {
         return choice.costMilliseconds() <= ACCEPTED_PART * (run.latestStart() - now());
     }
--- /dev/null
+++ b/library/src/test/java/org/siskinramp/fleet/FleetTest.java
@@ -0,0 +1,106 @@
+package org.siskinramp.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.siskinramp.attempt.LoadReport;
+import org.siskinramp.configuration.BackendServer;
+import org.siskinramp.configuration.ServiceState;
+
+class FleetTest {
+
+    private final Fleet fleet = new Fleet();
+
+    @Test
+    void anEntryOfAnEarlierStartChangesNothing() {
+        fleet.put(entry("a", false, 200, 1), 0);
+        assertFalse(fleet.put(entry("a", true, 100, 9), 0));
+        assertEquals(1, fleet.usable("s", 0).size());
+    }
+
+    @Test
+    void aLowerCountOfTheSameStartChangesNothing() {
+        fleet.put(entry("a", true, 100, 5), 0);
+        fleet.put(entry("a", false, 100, 4), 0);
+        assertTrue(fleet.usable("s", 0).isEmpty());
+    }
+
+    @Test
+    void aNewStartUnderTheSameNameIsFollowedThoughItsCountBeginsAnew() {
+        fleet.put(entry("a", true, 100, 50), 0);
+        fleet.put(entry("a", false, 101, 1), 0);
+        assertEquals(1, fleet.usable("s", 0).size());
+    }
+
+    @Test
+    void aServerThatDrainsGetsNothingMore() {
+        fleet.put(entry("a", false, 1, 1), 0);
+        fleet.put(entry("a", true, 1, 2), 0);
+        assertTrue(fleet.usable("s", 0).isEmpty());
+    }
+
+    @Test
+    void aServerWhoseEntryWentDuringAnOutageIsKeptUntilItCouldBeBack() {
+        fleet.put(entry("a", false, 1, 1), 0);
+        fleet.remove("a", 2_300);
+        assertEquals(1, fleet.usable("s", 2_299).size());
+        assertTrue(fleet.usable("s", 2_300).isEmpty());
+    }
+
+    @Test
+    void aServerThatPublishesItselfAgainStays() {
+        fleet.put(entry("a", false, 1, 1), 0);
+        fleet.remove("a", 2_300);
+        fleet.put(entry("a", false, 1, 2), 1_000);
+        assertEquals(1, fleet.usable("s", 9_999).size());
+    }
+
+    @Test
+    void anEvacuatedZoneGetsNothingUntilItIsTakenBack() {
+        fleet.put(entry("a", false, 1, 1), 0);
+        fleet.evacuate(Set.of("zone-1"));
+        assertTrue(fleet.usable("s", 0).isEmpty());
+        fleet.evacuate(Set.of());
+        assertEquals(1, fleet.usable("s", 0).size());
+    }
+
+    @Test
+    void countsItsOwnRequestsSinceTheLastLoadReport() {
+        fleet.put(entry("a", false, 1, 1), 0);
+        KnownServer server = fleet.find("a").orElseThrow();
+        server.see(new LoadReport("", 2, false, 0, 100, 0), 10);
+        server.beginRequest();
+        assertEquals(3, server.occupied());
+        server.endRequest(11);
+        assertEquals(2, server.occupied());
+    }
+
+    @Test
+    void isColdWhileItsHealthCheckSaysSo() {
+        fleet.put(entry("a", false, 1, 1), 0);
+        KnownServer server = fleet.find("a").orElseThrow();
+        server.see(new LoadReport("", 0, false, 0, 100, 3_000), 100);
+        assertTrue(server.isCold(3_099));
+        assertFalse(server.isCold(3_100));
+    }
+
+    @Test
+    void theMemoryOfFailuresFadesWithoutRequests() {
+        fleet.put(entry("a", false, 1, 1), 0);
+        KnownServer server = fleet.find("a").orElseThrow();
+        server.fail(0);
+        server.fail(0);
+        assertTrue(server.isSuspect(0));
+        assertFalse(server.isSuspect(1_500));
+    }
+
+    private static ServerEntry entry(String name, boolean leaving, long born, long sequence) {
+        BackendServer server =
+                new BackendServer(
+                        name, "s", "10.0.0.1", "zone-1", "10.0.0.1:80", 4, 1, ServiceState.IN);
+        return new ServerEntry(server, leaving, 0, born, sequence);
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/siskinramp/follow/ChangeFollowerTest.java
@@ -0,0 +1,106 @@
+package org.siskinramp.follow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.siskinramp.log.LogEvent;
+import org.siskinramp.result.ResultCode;
+import org.siskinramp.result.ResultException;
+import org.siskinramp.time.VirtualTime;
+
+class ChangeFollowerTest {
+
+    private final VirtualTime time = new VirtualTime();
+    private final List<String> calls = new ArrayList<>();
+    private final List<String> taken = new ArrayList<>();
+    private final List<String> events = new ArrayList<>();
+    private final Deque<CompletableFuture<Changes<String>>> answers = new ArrayDeque<>();
+
+    private final ChangeSource<String> source =
+            new ChangeSource<>() {
+                @Override
+                public CompletableFuture<Changes<String>> readAll() {
+                    calls.add("all@" + time.monotonicMilliseconds());
+                    return answers.isEmpty() ? new CompletableFuture<>() : answers.remove();
+                }
+
+                @Override
+                public CompletableFuture<Changes<String>> changesAfter(long version, long wait) {
+                    calls.add("after-" + version + "@" + time.monotonicMilliseconds());
+                    return answers.isEmpty() ? new CompletableFuture<>() : answers.remove();
+                }
+            };
+
+    private final ChangeFollower<String> follower =
+            ChangeFollower.builder("t", source, changes -> taken.addAll(changes.items()))
+                    .intervalMilliseconds(1_000)
+                    .clock(time)
+                    .scheduler(time)
+                    .eventLog(this::record)
+                    .build();
+
+    private void record(LogEvent event) {
+        events.add(event.name());
+    }
+
+    @Test
+    void readsAllOnceAndThenItsChangesAtItsPace() {
+        answers.add(done(5, true, "a"));
+        answers.add(done(7, false, "b"));
+        follower.start();
+        time.advance(1_500);
+        assertEquals(List.of("all@0", "after-5@1000"), calls);
+        assertEquals(List.of("a", "b"), taken);
+        assertTrue(follower.isSynced());
+    }
+
+    @Test
+    void readsAllAgainOnceTheHistoryIsGone() {
+        answers.add(done(5, true, "a"));
+        answers.add(failed(ResultCode.HISTORY_GONE));
+        answers.add(done(90, true, "c"));
+        follower.start();
+        time.advance(1_100);
+        assertEquals(List.of("all@0", "after-5@1000", "all@1000"), calls);
+        assertEquals(List.of("a", "c"), taken);
+    }
+
+    @Test
+    void asksLessOftenWhileTheStoreFailsAndSaysSoOnce() {
+        for (int failure = 0; failure < 5; failure++) {
+            answers.add(failed(ResultCode.PLATFORM_UNAVAILABLE));
+        }
+        follower.start();
+        time.advance(2_000);
+        assertEquals(List.of("all@0", "all@100", "all@300", "all@700", "all@1500"), calls);
+        assertEquals(List.of("store_lost"), events);
+        assertFalse(follower.isSynced());
+    }
+
+    @Test
+    void tellsHowLongAgoTheStoreWasReachedAgain() {
+        answers.add(failed(ResultCode.PLATFORM_UNAVAILABLE));
+        answers.add(done(5, true, "a"));
+        follower.start();
+        assertEquals(0, follower.sinceRegainedMilliseconds());
+        time.advance(400);
+        assertEquals(300, follower.sinceRegainedMilliseconds());
+        assertEquals(List.of("store_lost", "store_regained"), events);
+    }
+
+    private static CompletableFuture<Changes<String>> done(
+            long version, boolean whole, String item) {
+        return CompletableFuture.completedFuture(new Changes<>(version, whole, List.of(item)));
+    }
+
+    private static CompletableFuture<Changes<String>> failed(ResultCode code) {
+        return CompletableFuture.failedFuture(new ResultException(code, "test"));
+    }
+}
--- a/stand-in/src/main/java/org/siskinramp/standin/Main.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/Main.java
@@ -19,6 +19,7 @@
 import org.siskinramp.standin.command.MeasureRunCommand;
 import org.siskinramp.standin.command.PlatformCommand;
 import org.siskinramp.standin.command.RandomisedCommand;
+import org.siskinramp.standin.command.RehearseCommand;
 import org.siskinramp.standin.command.SlopesCommand;
 import org.siskinramp.standin.command.StandInCommand;
 
@@ -40,6 +41,7 @@
                             "measure-report", MeasureReportCommand::new,
                             "fault-proxy", FaultProxyCommand::new,
                             "randomised", RandomisedCommand::new,
+                            "rehearse", RehearseCommand::new,
                             "slopes", SlopesCommand::new));
 
     private final PrintStream output;
--- /dev/null
+++ b/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamFault.java
@@ -0,0 +1,21 @@
+package org.siskinramp.standin.upstream;
+
+/** Says how a backend server treats the requests that it runs. */
+public enum UpstreamFault {
+    /** It answers. */
+    NONE,
+    /** It runs the request and cuts the connection. */
+    LOSE_ANSWER,
+    /** It runs the request and never answers. */
+    HANG,
+    /** It answers without running the request, since it is full. */
+    SHED,
+    /** It answers a success without its signature. */
+    NO_SIGNATURE,
+    /** It answers with the identifier of another request. */
+    OTHER_REQUEST,
+    /** It cuts its answer short. */
+    SHORT_BODY,
+    /** It promises that the request has not run, though it has. */
+    FALSE_PROMISE
+}
--- /dev/null
+++ b/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamStandIn.java
@@ -0,0 +1,219 @@
+package org.siskinramp.standin.upstream;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.siskinramp.request.Header;
+import org.siskinramp.standin.WorkerScheduler;
+import org.siskinramp.standin.http.HttpExchange;
+import org.siskinramp.standin.http.HttpService;
+import org.siskinramp.standin.http.Json;
+import org.siskinramp.standin.store.StoreStandIn;
+
+/** Runs requests as a backend server of the operators does, and publishes itself in the store. */
+public final class UpstreamStandIn implements AutoCloseable {
+
+    private static final int OK = 200;
+    private static final int MISDIRECTED = 421;
+    private static final int UNAVAILABLE = 503;
+    private static final int SHORT_BYTES = 3;
+    private static final long HEARTBEAT_MILLISECONDS = 500;
+    private static final long ABANDONED_POLL_MILLISECONDS = 20;
+    private static final String REQUEST_ID = "X-Siskinramp-Request-Id";
+    private static final String HEALTH_PATH = "/health";
+    private static final AtomicLong BORN = new AtomicLong(System.currentTimeMillis());
+
+    private final String identity;
+    private final String service;
+    private final String zone;
+    private final int slots;
+    private final long workMilliseconds;
+    private final StoreStandIn store;
+    private final HttpService http;
+    private final WorkerScheduler workers = new WorkerScheduler(1);
+    private final AtomicInteger running = new AtomicInteger();
+    private final AtomicInteger abandoned = new AtomicInteger();
+    private final AtomicLong sequence = new AtomicLong();
+    private final Map<String, Integer> runs = new ConcurrentHashMap<>();
+    private final long born = BORN.incrementAndGet();
+    private volatile UpstreamFault fault = UpstreamFault.NONE;
+    private volatile String state = "ready";
+    private volatile long coldMilliseconds;
+    private volatile boolean closed;
+
+    /**
+     * Starts a backend server.
+     *
+     * @param identity its identity
+     * @param service its service
+     * @param zone its availability zone
+     * @param slots how many requests it runs at once
+     * @param workMilliseconds how long a request takes
+     * @param store where it publishes itself
+     */
+    public UpstreamStandIn(
+            String identity,
+            String service,
+            String zone,
+            int slots,
+            long workMilliseconds,
+            StoreStandIn store) {
+        this.identity = identity;
+        this.service = service;
+        this.zone = zone;
+        this.slots = slots;
+        this.workMilliseconds = workMilliseconds;
+        this.store = store;
+        http = HttpService.start("127.0.0.1:0", this::handle);
+        heartbeat();
+    }
+
+    private void heartbeat() {
+        if (!closed) {
+            publish();
+            workers.schedule(HEARTBEAT_MILLISECONDS, this::heartbeat);
+        }
+    }
+
+    private void publish() {
+        Map<String, Object> entry =
+                Map.of(
+                        "service", service,
+                        "address", http.address(),
+                        "zone", zone,
+                        "version", "v1",
+                        "concurrency", slots,
+                        "state", state,
+                        "warmup_left_ms", coldMilliseconds,
+                        "sequence", sequence.incrementAndGet(),
+                        "born", born);
+        store.put("servers", identity, new String(Json.write(entry), StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Sets how requests are treated from now on.
+     *
+     * @param value the fault
+     */
+    public void setFault(UpstreamFault value) {
+        fault = value;
+    }
+
+    /**
+     * Makes it cold.
+     *
+     * @param milliseconds for how long it says so
+     */
+    public void setCold(long milliseconds) {
+        coldMilliseconds = milliseconds;
+        publish();
+    }
+
+    /** Publishes that it drains. */
+    public void drain() {
+        state = "draining";
+        publish();
+    }
+
+    /**
+     * Tells how often it ran each request.
+     *
+     * @return runs by the identifier of the request
+     */
+    public Map<String, Integer> runs() {
+        return Map.copyOf(runs);
+    }
+
+    /**
+     * Counts the requests whose connection was closed while they ran.
+     *
+     * @return the abandoned requests
+     */
+    public int abandoned() {
+        return abandoned.get();
+    }
+
+    private void handle(HttpExchange exchange) {
+        if (exchange.path().equals(HEALTH_PATH)) {
+            health(exchange);
+            return;
+        }
+        String target = exchange.header("X-Siskinramp-Target-Instance").orElse(identity);
+        if (!target.equals(identity)) {
+            exchange.answer(
+                    MISDIRECTED,
+                    List.of(new Header("X-Siskinramp-Instance-Id", identity)),
+                    new byte[0]);
+        } else if (fault == UpstreamFault.SHED || running.incrementAndGet() > slots) {
+            if (fault != UpstreamFault.SHED) {
+                running.decrementAndGet();
+            }
+            exchange.answer(
+                    UNAVAILABLE,
+                    List.of(new Header("X-Siskinramp-Not-Executed", "1"), load()),
+                    new byte[0]);
+        } else {
+            runs.merge(exchange.header(REQUEST_ID).orElse(""), 1, Integer::sum);
+            workers.schedule(workMilliseconds, () -> finish(exchange));
+            workers.schedule(ABANDONED_POLL_MILLISECONDS, () -> watch(exchange, 0));
+        }
+    }
+
+    private void health(HttpExchange exchange) {
+        List<Header> headers = new ArrayList<>();
+        headers.add(new Header("X-Siskinramp-Instance-Id", identity));
+        headers.add(new Header("X-Siskinramp-Warmup-Ms", Long.toString(coldMilliseconds)));
+        headers.add(load());
+        exchange.answer(state.equals("ready") ? OK : UNAVAILABLE, headers, new byte[0]);
+    }
+
+    private Header load() {
+        return new Header("X-Siskinramp-Upstream-Load", running + ",0," + slots + ",100");
+    }
+
+    private void watch(HttpExchange exchange, long watched) {
+        if (exchange.isAbandoned()) {
+            abandoned.incrementAndGet();
+        } else if (watched < workMilliseconds) {
+            workers.schedule(
+                    ABANDONED_POLL_MILLISECONDS,
+                    () -> watch(exchange, watched + ABANDONED_POLL_MILLISECONDS));
+        }
+    }
+
+    private void finish(HttpExchange exchange) {
+        running.decrementAndGet();
+        String requestId = exchange.header(REQUEST_ID).orElse("");
+        byte[] body =
+                (exchange.method() + " " + exchange.path() + " " + exchange.body().length)
+                        .getBytes(StandardCharsets.UTF_8);
+        List<Header> headers = new ArrayList<>();
+        headers.add(
+                new Header(
+                        REQUEST_ID, fault == UpstreamFault.OTHER_REQUEST ? "another" : requestId));
+        headers.add(load());
+        if (fault != UpstreamFault.NO_SIGNATURE) {
+            headers.add(new Header("X-Siskinramp-Upstream-Signature", "s." + identity));
+        }
+        switch (fault) {
+            case LOSE_ANSWER -> exchange.drop();
+            case HANG -> {
+                // The exchange is never answered.
+            }
+            case SHORT_BODY -> exchange.answerShort(OK, headers, body, SHORT_BYTES);
+            case FALSE_PROMISE -> exchange.answer(UNAVAILABLE, headers, body);
+            default -> exchange.answer(OK, headers, body);
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        http.close();
+        workers.close();
+    }
+}
