Let requests pay for their probes, take slow servers last, start lighter

Now each request brings three probes. Cause 2: room left by an answer was used on slow servers too (98 in 100 late); it is judged like any choice now, and a slow server is the last chance before a refusal. Refusals by queue counted requests that are searched for at the same time; only those behind the searches count now. Cause 3: a start took 2.2 s of processor time. Ruled out: more probes for each request (sights of 2 ms and less are already right in 99 of 100).

--- a/daemon/src/main/java/org/siskinramp/daemon/log/LogSetup.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/log/LogSetup.java
@@ -12,6 +12,7 @@
 /** Sets Log4j up for one entry host. */
 public final class LogSetup {
 
+    private static final String SIMPLE = "org.apache.logging.log4j.simplelog.";
     private static final String EVENTS_APPENDER = "events";
     private static final String LIBRARIES_APPENDER = "libraries";
     private static final String LIBRARY_MESSAGE =
@@ -43,6 +44,26 @@
         Configurator.reconfigure(builder.build());
     }
 
+    /**
+     * Writes events and warnings of libraries to standard output by Log4j's own simple logger,
+     * whose lines begin with the level. It takes effect before the first logger is made, and spares
+     * a short-lived host the start of the full logging system.
+     *
+     * @param log the log settings
+     */
+    public static void applySimple(Settings.Log log) {
+        System.setProperty(
+                "log4j2.loggerContextFactory",
+                "org.apache.logging.log4j.simple.SimpleLoggerContextFactory");
+        System.setProperty(SIMPLE + "logFile", "System.out");
+        System.setProperty(SIMPLE + "level", Level.WARN.name());
+        System.setProperty(
+                SIMPLE + Log4jEventLog.LOGGER_NAME + ".level",
+                Level.toLevel(log.level().name()).name());
+        System.setProperty(SIMPLE + "showlogname", "false");
+        System.setProperty(SIMPLE + "showShortLogname", "false");
+    }
+
     private static AppenderComponentBuilder console(
             ConfigurationBuilder<BuiltConfiguration> builder, String name, String pattern) {
         return builder.newAppender(name, "Console")
--- a/daemon/src/main/java/org/siskinramp/daemon/metrics/Metrics.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/metrics/Metrics.java
@@ -31,7 +31,9 @@
     private final io.prometheus.metrics.core.metrics.Counter peerMessageBytes;
     private final io.prometheus.metrics.core.metrics.Counter peerMessages;
 
-    /** Creates metrics in which every counter is zero, and adds those of the JVM. */
+    private boolean hasJvmMetrics;
+
+    /** Creates metrics in which every counter is zero. */
     public Metrics() {
         Arrays.stream(Counter.values()).forEach(this::addCounter);
         peerMessages = peerCounter("siskinramp_peer_messages", "Messages between entry hosts.");
@@ -39,7 +41,14 @@
                 peerCounter(
                         "siskinramp_peer_message_bytes",
                         "Bytes of messages between entry hosts, with their length fields.");
-        JvmMetrics.builder().register(registry);
+    }
+
+    /** The metrics of the JVM load many classes, which a start has no time for. */
+    private synchronized void addJvmMetrics() {
+        if (!hasJvmMetrics) {
+            JvmMetrics.builder().register(registry);
+            hasJvmMetrics = true;
+        }
     }
 
     @Override
@@ -64,11 +73,12 @@
     }
 
     /**
-     * Collects all metrics.
+     * Collects all metrics, those of the JVM too.
      *
      * @return the Prometheus text format in UTF-8
      */
     public byte[] exposition() {
+        addJvmMetrics();
         ByteArrayOutputStream output = new ByteArrayOutputStream();
         try {
             writer.write(output, registry.scrape(), EscapingScheme.DEFAULT);
--- a/daemon/src/main/java/org/siskinramp/daemon/settings/GatewaySettingsReader.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/GatewaySettingsReader.java
@@ -78,8 +78,8 @@
                 new GatewaySettings.Store(
                         section.httpAddress("address"),
                         section.integer("request_timeout_ms", 10, MINUTE_MILLISECONDS, 700),
-                        section.integer("server_interval_ms", 50, MINUTE_MILLISECONDS, 1_000),
-                        section.integer("operator_wait_ms", 0, MINUTE_MILLISECONDS, 2_500));
+                        section.integer("server_interval_ms", 50, MINUTE_MILLISECONDS, 2_000),
+                        section.integer("operator_wait_ms", 0, MINUTE_MILLISECONDS, 2_200));
         section.close();
         return store;
     }
--- a/library/src/main/java/org/siskinramp/gateway/GatewayOptions.java
+++ b/library/src/main/java/org/siskinramp/gateway/GatewayOptions.java
@@ -11,7 +11,6 @@
 
     private final int candidates;
     private final long crossZonePatienceMilliseconds;
-    private final double probesPerServerSecond;
     private final double retryShare;
     private final int retrySlack;
     private final long retryWindowMilliseconds;
@@ -20,7 +19,6 @@
     private GatewayOptions(Builder builder) {
         candidates = builder.candidates;
         crossZonePatienceMilliseconds = builder.crossZonePatienceMilliseconds;
-        probesPerServerSecond = builder.probesPerServerSecond;
         retryShare = builder.retryShare;
         retrySlack = builder.retrySlack;
         retryWindowMilliseconds = builder.retryWindowMilliseconds;
@@ -44,10 +42,6 @@
         return crossZonePatienceMilliseconds;
     }
 
-    double probesPerServerSecond() {
-        return probesPerServerSecond;
-    }
-
     double retryShare() {
         return retryShare;
     }
@@ -72,8 +66,6 @@
         // A cross-zone request costs bytes; a slot of the own zone is free again within this time
         // unless the zone is full.
         private long crossZonePatienceMilliseconds = 15;
-        // A third of the 60 probes a server and second that the operators allow.
-        private double probesPerServerSecond = 20;
         private double retryShare = 0.1;
         private int retrySlack = 20;
         private long retryWindowMilliseconds = 10_000;
@@ -104,17 +96,6 @@
             return this;
         }
 
-        /**
-         * Sets how often all hosts together may ask a backend server for its load.
-         *
-         * @param value probes a second
-         * @return this builder
-         */
-        public Builder probesPerServerSecond(double value) {
-            probesPerServerSecond = value;
-            return this;
-        }
-
         /**
          * Sets how many repeats there may be for each request.
          *
--- a/library/src/main/java/org/siskinramp/gateway/PlacementChoice.java
+++ b/library/src/main/java/org/siskinramp/gateway/PlacementChoice.java
@@ -16,6 +16,9 @@
 
     private static final double USUAL_PACE_PERCENT = 100;
 
+    /** From here on an answer is more likely late than not. */
+    private static final int SLOW_PACE_PERCENT = 200;
+
     private final String availabilityZone;
     private final ConcurrencyLimit limit;
 
@@ -41,7 +44,7 @@
             }
             double cost = cost(server, typicalMilliseconds, crossZoneMilliseconds);
             if (best == null || cost < best.costMilliseconds()) {
-                best = new Choice(server, cost);
+                best = new Choice(server, cost, server.pacePercent() > SLOW_PACE_PERCENT);
             }
         }
         return Optional.ofNullable(best);
@@ -71,6 +74,7 @@
      * @param server the server
      * @param costMilliseconds the expected cost in milliseconds, 0 for a free and fast server of
      *     the own availability zone
+     * @param isSlow whether its work takes much longer than usual now
      */
-    record Choice(KnownServer server, double costMilliseconds) {}
+    record Choice(KnownServer server, double costMilliseconds, boolean isSlow) {}
 }
--- a/library/src/main/java/org/siskinramp/gateway/SearchDesk.java
+++ b/library/src/main/java/org/siskinramp/gateway/SearchDesk.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.function.IntSupplier;
 import org.siskinramp.attempt.AttemptException;
 import org.siskinramp.attempt.LoadReport;
 import org.siskinramp.fleet.KnownServer;
@@ -19,7 +18,7 @@
 final class SearchDesk {
 
     /** Searches at once for a service; more would ask the same servers again. */
-    private static final int SEARCHES_AT_MOST = 6;
+    static final int SEARCHES_AT_MOST = 6;
 
     /**
      * A load report this young is used without asking again: pace changes several times a second.
@@ -29,6 +28,9 @@
     /** The age up to which load reports of earlier rounds are compared with new ones. */
     private static final long SEEN_MILLISECONDS = 6;
 
+    /** The age up to which a load report shows room to a request that would be refused else. */
+    private static final long LAST_CHANCE_MILLISECONDS = 60;
+
     /** The age up to which load reports are used when no more probes may be sent. */
     private static final long OLD_SIGHT_MILLISECONDS = 400;
 
@@ -49,19 +51,30 @@
     private static final double ACCEPTED_PART = 0.25;
 
     /** The part of its possible wait in which a request takes only servers that lose little. */
-    private static final double PATIENCE_PART = 0.3;
+    private static final double PATIENCE_PART = 0.25;
+
+    /**
+     * The same for servers that are slow now: pace at the start of work holds for all of it, so
+     * that the answer would come late.
+     */
+    private static final double SLOW_PATIENCE_PART = 0.85;
 
     /** A server of another availability zone is charged this, above its slowness. */
     private static final double CROSS_ZONE_MILLISECONDS = 30;
 
-    /** Unused probes are kept for this time, so that a burst may use them. */
-    private static final double PROBE_STORE_SECONDS = 6;
+    /** The candidates of a first round; further rounds ask more. */
+    private static final int FIRST_CANDIDATES = 2;
+
+    /** Probes for each request on average: a first round, and a second one for one in three. */
+    private static final double PROBES_PER_REQUEST = 3;
+
+    /** Probes that are kept, so that requests whose search is long may use them. */
+    private static final double PROBES_KEPT = 60;
 
     private final ServicePool pool;
     private final GatewayEnvironment environment;
     private final GatewayOptions options;
     private final Locked locked;
-    private final IntSupplier hosts;
     private final TokenBucket probeBudget;
     private int searches;
 
@@ -69,14 +82,17 @@
             ServicePool pool,
             GatewayEnvironment environment,
             GatewayOptions options,
-            Locked locked,
-            IntSupplier hosts) {
+            Locked locked) {
         this.pool = pool;
         this.environment = environment;
         this.options = options;
         this.locked = locked;
-        this.hosts = hosts;
-        probeBudget = new TokenBucket(options.candidates() * SEARCHES_AT_MOST, now());
+        probeBudget = new TokenBucket(PROBES_KEPT, now());
+    }
+
+    /** Lets a new request pay for its probes, so that no host has to know how many others probe. */
+    void countRequest() {
+        probeBudget.give(PROBES_PER_REQUEST, PROBES_KEPT);
     }
 
     /** Starts searches for waiting requests that have none. */
@@ -111,20 +127,18 @@
             return;
         }
         List<KnownServer> asked =
-                CandidateChoice.choose(servers, options.candidates(), now(), environment.random());
-        if (asked.isEmpty() || !takeProbes(asked.size(), servers.size())) {
+                CandidateChoice.choose(servers, candidates(run), now(), environment.random());
+        if (asked.isEmpty() || !probeBudget.take(asked.size())) {
             conclude(run, OLD_SIGHT_MILLISECONDS, effects);
             return;
         }
         ask(new Round(run, asked.size()), asked, effects);
     }
 
-    private boolean takeProbes(int count, int servers) {
-        double perSecond =
-                options.probesPerServerSecond()
-                        * Math.max(1, Math.max(servers, pool.scope().size(now())))
-                        / Math.max(1, hosts.getAsInt());
-        return probeBudget.take(count, now(), perSecond, perSecond * PROBE_STORE_SECONDS);
+    private int candidates(GatewayRun run) {
+        return run.rounds() == 0
+                ? Math.min(FIRST_CANDIDATES, options.candidates())
+                : options.candidates();
     }
 
     private void ask(Round round, List<KnownServer> asked, Effects effects) {
@@ -204,7 +218,7 @@
         }
         Optional<PlacementChoice.Choice> choice =
                 choose(run, pool.serversFor(run), sightLimit)
-                        .filter(found -> isGood(found, run) || isOutOfPatience(run));
+                        .filter(found -> isAcceptable(found, run));
         if (choice.isPresent() && pool.place(choice.get().server(), "search", effects)) {
             end(run);
             pool.pump(effects);
@@ -241,11 +255,25 @@
         return servers.stream().filter(server -> !server.tellsLoad()).toList();
     }
 
-    /** A request takes any server with room once it has waited for a part of what it may. */
-    private boolean isOutOfPatience(GatewayRun run) {
+    /** The longer a request has waited, the more it accepts to lose. */
+    private boolean isAcceptable(PlacementChoice.Choice choice, GatewayRun run) {
         long now = now();
         long waited = run.waitedMilliseconds(now);
-        return waited > PATIENCE_PART * (waited + run.latestStart() - now);
+        double patience = choice.isSlow() ? SLOW_PATIENCE_PART : PATIENCE_PART;
+        return isGood(choice, run) || waited > patience * (waited + run.latestStart() - now);
+    }
+
+    /** Finds a server that had room a moment ago, however slow it is. */
+    Optional<KnownServer> roomFor(GatewayRun run) {
+        return choose(run, pool.serversFor(run), LAST_CHANCE_MILLISECONDS)
+                .map(PlacementChoice.Choice::server);
+    }
+
+    /** Tells whether a request may be placed on a server whose load is known from just now. */
+    boolean accepts(GatewayRun run, KnownServer server) {
+        return choose(run, List.of(server), FRESH_MILLISECONDS)
+                .filter(choice -> isAcceptable(choice, run))
+                .isPresent();
     }
 
     private boolean isGood(PlacementChoice.Choice choice, GatewayRun run) {
--- a/library/src/main/java/org/siskinramp/gateway/ServicePool.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServicePool.java
@@ -69,7 +69,7 @@
         ends = new RunEnds(environment);
         placement = new PlacementChoice(environment.availabilityZone(), limit);
         retryBudget = new RetryBudget(options.retryShare(), options.retryWindowMilliseconds());
-        searches = new SearchDesk(this, environment, options, locked, hosts);
+        searches = new SearchDesk(this, environment, options, locked);
     }
 
     PlacementChoice placement() {
@@ -88,13 +88,15 @@
     void submit(GatewayRun run, Effects effects) {
         long now = now();
         retryBudget.countRequest(now);
+        searches.countRequest();
         if (scope.isEmpty(now)) {
             ends.refuse(run, ResultCode.NO_BACKEND_SERVER, "no_backend_server", 0, effects);
             return;
         }
         long latestStart = latestStart(run);
         int ahead = queue.countAhead(-run.route().rank(), latestStart);
-        long wait = ahead == 0 ? 0 : startRate.expectedMilliseconds(ahead + 1, now);
+        int behind = Math.max(0, ahead + 1 - SearchDesk.SEARCHES_AT_MOST);
+        long wait = startRate.expectedMilliseconds(behind, now);
         if (AdmissionRule.comesTooLate(now, wait, latestStart)) {
             ends.refuse(run, ResultCode.DEADLINE_UNREACHABLE, "queue", wait, effects);
             return;
@@ -135,13 +137,16 @@
         return run.route().name();
     }
 
-    /** Turns a request away that found no server in time. */
+    /** Takes any server with room for a request that found no good one in time, or refuses it. */
     private void turnAway(GatewayRun run, Effects effects) {
         if (!run.isWaiting() || now() < run.latestStart()) {
             return;
         }
-        unqueue(run);
-        giveUp(run, ResultCode.DEADLINE_UNREACHABLE, "no_room", effects);
+        Optional<KnownServer> slow = searches.roomFor(run);
+        if (slow.isEmpty() || !place(slow.get(), "last_chance", effects)) {
+            unqueue(run);
+            giveUp(run, ResultCode.DEADLINE_UNREACHABLE, "no_room", effects);
+        }
         pump(effects);
     }
 
@@ -305,11 +310,18 @@
         if (queue.size() > 0
                 && server.tellsLoad()
                 && scope.isHealthy(server, now)
-                && server.occupied() < ConcurrencyLimit.uncrowded(server.server().slots())) {
+                && server.occupied() < ConcurrencyLimit.uncrowded(server.server().slots())
+                && acceptsRoom(server)) {
             place(server, "room_left", effects);
         }
     }
 
+    private boolean acceptsRoom(KnownServer server) {
+        return queue.findFirst(run -> !run.hasTried(server.server().name()))
+                .filter(run -> searches.accepts(run, server))
+                .isPresent();
+    }
+
     private long now() {
         return environment.clock().monotonicMilliseconds();
     }
--- a/library/src/main/java/org/siskinramp/gateway/TokenBucket.java
+++ b/library/src/main/java/org/siskinramp/gateway/TokenBucket.java
@@ -27,6 +27,16 @@
         tokens =
                 Math.min(capacity, tokens + (now - filledAt) * perSecond / MILLISECONDS_PER_SECOND);
         filledAt = now;
+        return take(wanted);
+    }
+
+    /** Adds tokens, up to the number that is kept. */
+    void give(double added, double capacity) {
+        tokens = Math.min(capacity, tokens + added);
+    }
+
+    /** Takes tokens if there are enough, without any that come back by time. */
+    boolean take(double wanted) {
         if (tokens < wanted) {
             return false;
         }
