--- a/library/src/main/java/org/siskinramp/gateway/ServicePool.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServicePool.java
@@ -142,8 +142,8 @@
         if (!run.isWaiting() || now() < run.latestStart()) {
             return;
         }
-        Optional<KnownServer> slow = searches.roomFor(run);
-        if (slow.isEmpty() || !place(slow.get(), "last_chance", effects)) {
+        searches.roomFor(run).ifPresent(server -> place(server, "last_chance", effects));
+        if (run.isWaiting()) {
             unqueue(run);
             giveUp(run, ResultCode.DEADLINE_UNREACHABLE, "no_room", effects);
         }
--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/ProgramProcess.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/ProgramProcess.java
@@ -99,6 +99,14 @@
         signal("-CONT");
     }
 
+    void hangUp() {
+        signal("-HUP");
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
     /** Asks the process to stop and returns its exit status. */
     int terminate() {
         process.destroy();
