--- a/daemon/src/main/java/org/siskinramp/daemon/metrics/Metrics.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/metrics/Metrics.java
@@ -2,6 +2,7 @@
 
 import io.prometheus.metrics.config.EscapingScheme;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.instrumentation.jvm.JvmMetrics;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -16,13 +17,22 @@
 import org.siskinramp.daemon.peer.PeerTraffic;
 import org.siskinramp.log.Counter;
 import org.siskinramp.log.Counters;
+import org.siskinramp.log.RequestMeasures;
+import org.siskinramp.log.RequestTime;
 
 /** Holds the metrics of one entry host. */
-public final class Metrics implements Counters, Gauges, PeerTraffic {
+public final class Metrics implements Counters, Gauges, PeerTraffic, RequestMeasures {
 
     /** The media type of {@link #exposition()}. */
     public static final String CONTENT_TYPE = PrometheusTextFormatWriter.CONTENT_TYPE;
 
+    private static final double MILLISECONDS_PER_SECOND = 1_000;
+
+    /** From a wait for a free server up to the longest time limits of routes. */
+    private static final double[] REQUEST_SECONDS = {
+        0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2
+    };
+
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.create();
     private final Map<Counter, io.prometheus.metrics.core.metrics.Counter> counters =
@@ -31,6 +41,20 @@
     private final io.prometheus.metrics.core.metrics.Counter peerMessageBytes;
     private final io.prometheus.metrics.core.metrics.Counter peerMessages;
 
+    private final Histogram requestSeconds =
+            Histogram.builder()
+                    .name("siskinramp_request_seconds")
+                    .help("Times of requests: waiting, at the backend server, whole.")
+                    .labelNames("time", "idempotent")
+                    .classicOnly()
+                    .classicUpperBounds(REQUEST_SECONDS)
+                    .register(registry);
+    private final io.prometheus.metrics.core.metrics.Counter requestEnds =
+            io.prometheus.metrics.core.metrics.Counter.builder()
+                    .name("siskinramp_request_ends")
+                    .help("Ends of requests by outcome, result code and reason.")
+                    .labelNames("outcome", "result_code", "reason")
+                    .register(registry);
     private boolean hasJvmMetrics;
 
     /** Creates metrics in which every counter is zero. */
@@ -56,6 +80,18 @@
         counters.get(counter).inc(amount);
     }
 
+    @Override
+    public void took(RequestTime time, boolean idempotent, long milliseconds) {
+        requestSeconds
+                .labelValues(time.name().toLowerCase(Locale.ROOT), Boolean.toString(idempotent))
+                .observe(milliseconds / MILLISECONDS_PER_SECOND);
+    }
+
+    @Override
+    public void ended(String outcome, int resultCode, String reason) {
+        requestEnds.labelValues(outcome, Integer.toString(resultCode), reason).inc();
+    }
+
     @Override
     public void count(Direction direction, String messageType, int bytes) {
         String way = direction.name().toLowerCase(Locale.ROOT);
--- a/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
+++ b/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
@@ -1,6 +1,7 @@
 package org.siskinramp.gateway;
 
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 import org.siskinramp.attempt.Attempt;
@@ -11,6 +12,7 @@
 import org.siskinramp.fleet.KnownServer;
 import org.siskinramp.log.Counter;
 import org.siskinramp.log.LogEvent;
+import org.siskinramp.log.RequestTime;
 import org.siskinramp.result.Futures;
 import org.siskinramp.routing.Effects;
 
@@ -47,6 +49,9 @@
         long now = environment.clock().monotonicMilliseconds();
         long number = NEXT_NUMBER.getAndIncrement();
         log(run, server, number, reason, now);
+        environment
+                .measures()
+                .took(RequestTime.WAITING, run.route().isIdempotent(), run.waitedMilliseconds(now));
         server.beginRequest();
         run.beginAttempt(number, server.server().name());
         open.put(number, new Open(run, server, number, now, server.occupied()));
@@ -106,6 +111,7 @@
             attempt.server().succeed();
         }
         attempt.run().endAttempt(attempt.number(), true, true);
+        environment.measures().took(RequestTime.AT_SERVER, idempotent, now - attempt.sentAt());
         logEnd(attempt, "answered_" + status, now);
         listener.ended(attempt, answer, AttemptVerdict.ofAnswer(status, idempotent), effects);
     }
@@ -121,7 +127,7 @@
             attempt.server().fail(now);
         }
         attempt.run().endAttempt(attempt.number(), kind.isArrival(), !kind.isNotRun());
-        logEnd(attempt, kind.name().toLowerCase(java.util.Locale.ROOT), now);
+        logEnd(attempt, kind.name().toLowerCase(Locale.ROOT), now);
         listener.ended(attempt, null, AttemptVerdict.ofFailure(kind, idempotent), effects);
     }
 
--- a/library/src/main/java/org/siskinramp/gateway/GatewayEnvironment.java
+++ b/library/src/main/java/org/siskinramp/gateway/GatewayEnvironment.java
@@ -4,6 +4,7 @@
 import org.siskinramp.attempt.BackendServerLink;
 import org.siskinramp.log.Counters;
 import org.siskinramp.log.EventLog;
+import org.siskinramp.log.RequestMeasures;
 import org.siskinramp.time.Clock;
 import org.siskinramp.time.Scheduler;
 
@@ -16,6 +17,7 @@
  * @param backendServerLink sends attempts and probes
  * @param eventLog receives decisions
  * @param counters counts decisions
+ * @param measures receives the times and the ends of requests
  * @param random the source of randomness, used under the lock only
  */
 public record GatewayEnvironment(
@@ -25,4 +27,5 @@
         BackendServerLink backendServerLink,
         EventLog eventLog,
         Counters counters,
+        RequestMeasures measures,
         UniformRandomProvider random) {}
--- a/library/src/main/java/org/siskinramp/gateway/RunEnds.java
+++ b/library/src/main/java/org/siskinramp/gateway/RunEnds.java
@@ -2,6 +2,7 @@
 
 import org.siskinramp.log.Counter;
 import org.siskinramp.log.LogEvent;
+import org.siskinramp.log.RequestTime;
 import org.siskinramp.request.Answer;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.result.ResultException;
@@ -19,7 +20,7 @@
     void answer(GatewayRun run, Answer answer, Effects effects) {
         if (run.end()) {
             environment.counters().add(Counter.REQUESTS_ANSWERED);
-            log("request_answered", run, answer.code(), answer.status(), "server");
+            note("request_answered", run, answer.code(), answer.status(), "server");
             effects.add(() -> run.answer().complete(answer));
         }
     }
@@ -33,7 +34,7 @@
             Effects effects) {
         if (run.end()) {
             environment.counters().add(Counter.REQUESTS_REFUSED);
-            log("request_refused", run, code, code.httpStatus(), reason);
+            note("request_refused", run, code, code.httpStatus(), reason);
             long wait = ReturnTime.milliseconds(expectedWaitMilliseconds, environment.random());
             fail(run, new ResultException(code, reason, wait), effects);
         }
@@ -43,7 +44,7 @@
     void fail(GatewayRun run, ResultCode code, String reason, Effects effects) {
         if (run.end()) {
             environment.counters().add(Counter.REQUESTS_FAILED);
-            log("request_failed", run, code, code.httpStatus(), reason);
+            note("request_failed", run, code, code.httpStatus(), reason);
             fail(run, new ResultException(code, reason), effects);
         }
     }
@@ -52,8 +53,11 @@
         effects.add(() -> run.answer().completeExceptionally(failure));
     }
 
-    private void log(String event, GatewayRun run, ResultCode code, int status, String reason) {
+    private void note(String event, GatewayRun run, ResultCode code, int status, String reason) {
         long now = environment.clock().monotonicMilliseconds();
+        long took = now - run.request().arrivedMilliseconds();
+        environment.measures().ended(event, code.number(), reason);
+        environment.measures().took(RequestTime.WHOLE, run.route().isIdempotent(), took);
         environment
                 .eventLog()
                 .record(
@@ -65,6 +69,6 @@
                                 .with("status", status)
                                 .with("reason", reason)
                                 .with("attempts", run.sendCount())
-                                .with("took_ms", now - run.request().arrivedMilliseconds()));
+                                .with("took_ms", took));
     }
 }
--- a/library/src/test/java/org/siskinramp/gateway/GatewayTest.java
+++ b/library/src/test/java/org/siskinramp/gateway/GatewayTest.java
@@ -13,6 +13,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
+import org.siskinramp.log.RequestMeasures;
 import org.siskinramp.request.Answer;
 import org.siskinramp.request.Request;
 import org.siskinramp.request.RequestKey;
@@ -47,6 +48,7 @@
                                 servers,
                                 event -> {},
                                 (counter, amount) -> {},
+                                RequestMeasures.NONE,
                                 RandomSource.XO_RO_SHI_RO_128_PP.create(seed)),
                         GatewayOptions.builder().retryShare(0.2).retrySlack(4).build(),
                         HOSTS);
