--- a/library/src/main/java/org/siskinramp/gateway/PlacementChoice.java
+++ b/library/src/main/java/org/siskinramp/gateway/PlacementChoice.java
@@ -55,7 +55,7 @@
         return server.occupied() < limit.limit(server.server().slots());
     }
 
-    boolean isOwnZone(KnownServer server) {
+    private boolean isOwnZone(KnownServer server) {
         return server.server().availabilityZone().equals(availabilityZone);
     }
 
--- a/library/src/test/java/org/siskinramp/gateway/GatewayTest.java
+++ b/library/src/test/java/org/siskinramp/gateway/GatewayTest.java
@@ -275,12 +275,10 @@
     void refusedRequestsAreNotHeldAndTellWhenToComeBack() {
         publish(servers.add("only", "zone-1", 2, 300));
         List<CompletableFuture<Answer>> answers = sendAll(READ, 60);
-        time.advance(1);
-        long atOnce = answers.stream().filter(CompletableFuture::isDone).count();
-        time.advance(3_000);
-        long refused = answers.stream().filter(CompletableFuture::isCompletedExceptionally).count();
-        assertTrue(refused > 50);
-        assertTrue(atOnce >= 0);
+        time.advance(READ.objectiveMilliseconds());
+        long refused =
+                answers.stream().filter(CompletableFuture::isCompletedExceptionally).count();
+        assertTrue(refused > 50, "refused within their objective: " + refused);
         answers.stream()
                 .filter(CompletableFuture::isCompletedExceptionally)
                 .forEach(
--- a/stand-in/src/main/java/org/siskinramp/standin/Main.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/Main.java
@@ -15,6 +15,7 @@
 import org.siskinramp.standin.command.BackendServersCommand;
 import org.siskinramp.standin.command.CallersCommand;
 import org.siskinramp.standin.command.FaultProxyCommand;
+import org.siskinramp.standin.command.GatewayWorldCommand;
 import org.siskinramp.standin.command.MeasureReportCommand;
 import org.siskinramp.standin.command.MeasureRunCommand;
 import org.siskinramp.standin.command.PlatformCommand;
@@ -32,17 +33,18 @@
 
     private static final Map<String, Supplier<StandInCommand>> COMMANDS =
             new TreeMap<>(
-                    Map.of(
-                            "platform", PlatformCommand::new,
-                            "backend-server", BackendServerCommand::new,
-                            "backend-servers", BackendServersCommand::new,
-                            "callers", CallersCommand::new,
-                            "measure-run", MeasureRunCommand::new,
-                            "measure-report", MeasureReportCommand::new,
-                            "fault-proxy", FaultProxyCommand::new,
-                            "randomised", RandomisedCommand::new,
-                            "rehearse", RehearseCommand::new,
-                            "slopes", SlopesCommand::new));
+                    Map.ofEntries(
+                            Map.entry("platform", PlatformCommand::new),
+                            Map.entry("backend-server", BackendServerCommand::new),
+                            Map.entry("backend-servers", BackendServersCommand::new),
+                            Map.entry("callers", CallersCommand::new),
+                            Map.entry("measure-run", MeasureRunCommand::new),
+                            Map.entry("measure-report", MeasureReportCommand::new),
+                            Map.entry("fault-proxy", FaultProxyCommand::new),
+                            Map.entry("gateway-world", GatewayWorldCommand::new),
+                            Map.entry("randomised", RandomisedCommand::new),
+                            Map.entry("rehearse", RehearseCommand::new),
+                            Map.entry("slopes", SlopesCommand::new)));
 
     private final PrintStream output;
     private final PrintStream errors;
--- /dev/null
+++ b/stand-in/src/main/java/org/siskinramp/standin/command/GatewayWorldCommand.java
@@ -0,0 +1,43 @@
+package org.siskinramp.standin.command;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.kohsuke.args4j.Option;
+import org.siskinramp.log.EventLog;
+import org.siskinramp.standin.store.StoreStandIn;
+import org.siskinramp.standin.upstream.GatewayWorld;
+import org.siskinramp.standin.upstream.UpstreamStandIn;
+
+/** Runs the operators' store and a few backend servers, to try a gateway on loopback. */
+public final class GatewayWorldCommand implements StandInCommand {
+
+    private static final int SLOTS = 4;
+
+    @Option(name = "--address", usage = "address of the store; port 0 takes a free port")
+    private String address = "127.0.0.1:0";
+
+    @Option(name = "--servers", usage = "how many backend servers to run")
+    private int servers = 2;
+
+    @Option(name = "--work-ms", usage = "how long a request takes, in milliseconds")
+    private long workMilliseconds = 50;
+
+    @Override
+    public int run(EventLog output) {
+        StoreStandIn store = StoreStandIn.start(address);
+        store.put("op", "config", GatewayWorld.configuration(1));
+        List<UpstreamStandIn> upstreams = new ArrayList<>();
+        for (int number = 1; number <= servers; number++) {
+            upstreams.add(
+                    new UpstreamStandIn(
+                            "i-" + number, "desk", "zone-a", SLOTS, workMilliseconds, store));
+        }
+        return Running.untilTerminated(
+                store.address(),
+                output,
+                () -> {
+                    upstreams.forEach(UpstreamStandIn::close);
+                    store.close();
+                });
+    }
+}
