Wait for the accepting thread before a scripted server counts as closed

Cause: a listening socket takes connections until the thread that waits in accept has left it; the test connected in that moment and was reset. Ruled out: the exchange (it reports what happened: connected, sent, lost). Change: close joins the thread. The expectation is as it was.

--- a/daemon/src/test/java/org/siskinramp/daemon/exchange/ScriptedServer.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/exchange/ScriptedServer.java
@@ -34,6 +34,7 @@
     }
 
     private final ServerSocket listener;
+    private final Thread acceptor;
     private final UnaryOperator<String> script;
     private final List<String> requests = new CopyOnWriteArrayList<>();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
@@ -43,9 +44,9 @@
     public ScriptedServer(UnaryOperator<String> script) throws IOException {
         this.script = script;
         this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        Thread thread = new Thread(this::accept, "scripted-server");
-        thread.setDaemon(true);
-        thread.start();
+        this.acceptor = new Thread(this::accept, "scripted-server");
+        acceptor.setDaemon(true);
+        acceptor.start();
     }
 
     /** Returns the address as {@code ip:port}. */
@@ -141,9 +142,15 @@
                 .orElse(0);
     }
 
+    /** Stops to listen; the port takes connections until the accepting thread has ended. */
     @Override
     public void close() throws IOException {
         listener.close();
+        try {
+            acceptor.join();
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
         for (Socket socket : sockets) {
             socket.close();
         }
