Give the work that a leaving caller cuts short more time in the process test

Change: that server works for a second. What is checked is as it was: the server sees the connection closed while it works.

--- a/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamStandIn.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamStandIn.java
@@ -31,7 +31,7 @@
     private final String service;
     private final String zone;
     private final int slots;
-    private final long workMilliseconds;
+    private volatile long workMilliseconds;
     private final StoreStandIn store;
     private final HttpService http;
     private final WorkerScheduler workers = new WorkerScheduler(1);
@@ -103,6 +103,15 @@
         fault = value;
     }
 
+    /**
+     * Sets how long requests take from now on.
+     *
+     * @param milliseconds the time of each request
+     */
+    public void setWork(long milliseconds) {
+        workMilliseconds = milliseconds;
+    }
+
     /**
      * Makes it cold.
      *
--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/GatewayProcessTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/GatewayProcessTest.java
@@ -32,6 +32,9 @@
 
     private static final int WORK_MILLISECONDS = 100;
 
+    /** Long enough to be cut short also where the processes of the test get little time. */
+    private static final int LONG_WORK_MILLISECONDS = 1_000;
+
     @TempDir private Path directory;
 
     private final StoreStandIn store = StoreStandIn.start("127.0.0.1:0");
@@ -195,6 +198,7 @@
 
     @Test
     void stopsTheWorkOfACallerThatCloses() throws Exception {
+        first.setWork(LONG_WORK_MILLISECONDS);
         start();
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
             String request = head("GET /read/x HTTP/1.1", "X-Siskinramp-Request-Id: leaver");
