--- a/library/src/test/java/org/siskinramp/gateway/GatewayTest.java
+++ b/library/src/test/java/org/siskinramp/gateway/GatewayTest.java
@@ -276,8 +276,7 @@
         publish(servers.add("only", "zone-1", 2, 300));
         List<CompletableFuture<Answer>> answers = sendAll(READ, 60);
         time.advance(READ.objectiveMilliseconds());
-        long refused =
-                answers.stream().filter(CompletableFuture::isCompletedExceptionally).count();
+        long refused = answers.stream().filter(CompletableFuture::isCompletedExceptionally).count();
         assertTrue(refused > 50, "refused within their objective: " + refused);
         answers.stream()
                 .filter(CompletableFuture::isCompletedExceptionally)
