Take out a host count that nothing sets, and ask a server for its zone in one place

Found on reading the change again: Gateway.setHosts was never called, ServicePool.scope and ServerScope.size were left from the first probe budget, and two classes compared a server's availability zone in the same way. KnownServer.isIn serves both now. Behaviour is as it was: the number of hosts was the setting assumed_hosts all along.

--- a/library/src/main/java/org/siskinramp/fleet/KnownServer.java
+++ b/library/src/main/java/org/siskinramp/fleet/KnownServer.java
@@ -91,6 +91,16 @@
         return entry.server();
     }
 
+    /**
+     * Tells whether it is in an availability zone.
+     *
+     * @param availabilityZone the zone
+     * @return true if it is in that one
+     */
+    public boolean isIn(String availabilityZone) {
+        return server().availabilityZone().equals(availabilityZone);
+    }
+
     /**
      * Tells whether it may get new requests at all.
      *
--- a/library/src/main/java/org/siskinramp/gateway/Gateway.java
+++ b/library/src/main/java/org/siskinramp/gateway/Gateway.java
@@ -47,7 +47,7 @@
     private final SplitChoice splits = new SplitChoice();
     private final Map<String, ServicePool> pools = new HashMap<>();
     private volatile RouteTable routes = NO_ROUTES;
-    private volatile int hosts;
+    private final int hosts;
     private int inProgress;
 
     /**
@@ -55,7 +55,7 @@
      *
      * @param environment what it uses of the outside
      * @param options times, counts and budgets
-     * @param hosts how many hosts to assume until their number is known
+     * @param hosts how many hosts to assume that share the budgets
      */
     public Gateway(GatewayEnvironment environment, GatewayOptions options, int hosts) {
         this.environment = environment;
@@ -176,18 +176,6 @@
                 });
     }
 
-    /**
-     * Sets how many hosts share the budgets.
-     *
-     * @param count the hosts, one or more
-     */
-    public void setHosts(int count) {
-        if (count != hosts) {
-            record(LogEvent.named("hosts").with("count", count).with("before", hosts));
-            hosts = Math.max(1, count);
-        }
-    }
-
     /**
      * Chooses the service of a request among the shares of its route.
      *
@@ -242,7 +230,7 @@
                                 fleet,
                                 this::locked,
                                 this::routes,
-                                () -> hosts));
+                                hosts));
     }
 
     /** Does what is due without another event. */
--- a/library/src/main/java/org/siskinramp/gateway/PlacementChoice.java
+++ b/library/src/main/java/org/siskinramp/gateway/PlacementChoice.java
@@ -55,17 +55,13 @@
         return server.occupied() < limit.limit(server.server().slots());
     }
 
-    private boolean isOwnZone(KnownServer server) {
-        return server.server().availabilityZone().equals(availabilityZone);
-    }
-
     private double cost(KnownServer server, long typicalMilliseconds, double crossZone) {
         double slower = Math.max(0, server.pacePercent() / USUAL_PACE_PERCENT - 1);
         double slowness = slower * typicalMilliseconds;
         boolean crowded = server.occupied() >= ConcurrencyLimit.uncrowded(server.server().slots());
         return slowness
                 + (crowded ? CROWDED_SHARE * typicalMilliseconds : 0)
-                + (isOwnZone(server) ? 0 : crossZone);
+                + (server.isIn(availabilityZone) ? 0 : crossZone);
     }
 
     /**
--- a/library/src/main/java/org/siskinramp/gateway/ServerScope.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServerScope.java
@@ -36,10 +36,6 @@
         return fleet.usable(service, now).isEmpty();
     }
 
-    int size(long now) {
-        return fleet.usable(service, now).size();
-    }
-
     /** Tells whether a server that just answered may get another request at once. */
     boolean isHealthy(KnownServer server, long now) {
         return fleet.isUsable(server, now) && !server.isCold(now) && !server.isSuspect(now);
@@ -51,7 +47,8 @@
                 filter(fleet.usable(service, now), server -> !run.hasTried(server.server().name()));
         List<KnownServer> warm = filter(usable, server -> !server.isCold(now));
         List<KnownServer> healthy = filter(warm, server -> !server.isSuspect(now));
-        List<KnownServer> near = filter(healthy, this::isOwnZone);
+        List<KnownServer> near =
+                filter(healthy, server -> server.isIn(environment.availabilityZone()));
         boolean patient =
                 run.rounds() <= OWN_ZONE_ROUNDS
                         || run.waitedMilliseconds(now) < options.crossZonePatienceMilliseconds();
@@ -64,10 +61,6 @@
         return warm.isEmpty() ? usable : warm;
     }
 
-    private boolean isOwnZone(KnownServer server) {
-        return server.server().availabilityZone().equals(environment.availabilityZone());
-    }
-
     private static List<KnownServer> filter(
             List<KnownServer> servers, Predicate<KnownServer> accepted) {
         List<KnownServer> kept = new ArrayList<>(servers.size());
--- a/library/src/main/java/org/siskinramp/gateway/ServicePool.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServicePool.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.siskinramp.attempt.AttemptAnswer;
 import org.siskinramp.fleet.Fleet;
@@ -38,7 +37,7 @@
     private final GatewayOptions options;
     private final Locked locked;
     private final Supplier<RouteTable> routes;
-    private final IntSupplier hosts;
+    private final int hosts;
     private final ServerScope scope;
     private final AttemptDesk desk;
     private final RunEnds ends;
@@ -57,7 +56,7 @@
             Fleet fleet,
             Locked locked,
             Supplier<RouteTable> routes,
-            IntSupplier hosts) {
+            int hosts) {
         this.service = service;
         this.environment = environment;
         this.options = options;
@@ -76,10 +75,6 @@
         return placement;
     }
 
-    ServerScope scope() {
-        return scope;
-    }
-
     int waiting() {
         return queue.size();
     }
@@ -230,10 +225,7 @@
                 .filter(
                         cold ->
                                 scope.takeColdRequest(
-                                        server,
-                                        cold.coldRequestsPerSecond(),
-                                        hosts.getAsInt(),
-                                        now))
+                                        server, cold.coldRequestsPerSecond(), hosts, now))
                 .isPresent();
     }
 
@@ -293,7 +285,7 @@
             return false;
         }
         if (run.arrivals() > 0) {
-            double slack = (double) options.retrySlack() / Math.max(1, hosts.getAsInt());
+            double slack = (double) options.retrySlack() / Math.max(1, hosts);
             if (!retryBudget.allows(now, Math.max(1, slack))) {
                 return false;
             }
