Send a repeated attempt on a connection of its own

The trace of the loop (entry-3): the first attempt of caller-0/run-2-1 met a silent connection and was given up after a third of its time; the second went out on a kept connection to another server, which the same loss of track had silenced, and waited for the rest of the deadline: fail code=302 attempts=2, connections_silent for both addresses. Change: attempts after the first open a connection. The new RoutingTest (a read after all kept connections went silent) failed before with the same error and passes now; JettyBackendServerLinkTest shows the new connection.

--- a/daemon/src/main/java/org/siskinramp/daemon/backend/JettyBackendServerLink.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/backend/JettyBackendServerLink.java
@@ -120,7 +120,10 @@
                 .headers(left -> protocol.requestHeaders(attempt, left))
                 .body(request.body())
                 .deadlineMilliseconds(attempt.deadlineMilliseconds())
-                .idleLimitMilliseconds(options.idleLimitMilliseconds(request.kind().idempotent()))
+                .idleLimitMilliseconds(
+                        attempt.isNewConnectionNeeded()
+                                ? NO_IDLE_TIME
+                                : options.idleLimitMilliseconds(request.kind().idempotent()))
                 .permission(attempt::isPermitted)
                 .answerCheck(answer -> protocol.isAnswerTo(attempt, answer))
                 .identityCheck(protocol.identityCheck(attempt.expectedBootIdentity()))
--- a/daemon/src/test/java/org/siskinramp/daemon/backend/JettyBackendServerLinkTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/backend/JettyBackendServerLinkTest.java
@@ -269,6 +269,14 @@
         assertEquals(opened, silent.get());
     }
 
+    @Test
+    void opensAConnectionForAnAttemptThatNeedsANewOne() throws Exception {
+        serve(WHOLE);
+        dispatch(1).get(5, TimeUnit.SECONDS);
+        link.dispatch(attempt(2, true, "", () -> true).onNewConnection()).get(5, TimeUnit.SECONDS);
+        assertEquals(2, server.connections());
+    }
+
     @Test
     void usesNoOldIdleConnectionForNonIdempotentRequests() throws Exception {
         serve(WHOLE);
--- a/library/src/main/java/org/siskinramp/attempt/Attempt.java
+++ b/library/src/main/java/org/siskinramp/attempt/Attempt.java
@@ -15,9 +15,10 @@
     private final boolean cold;
     private final String expectedBootIdentity;
     private final BooleanSupplier permission;
+    private final boolean newConnectionNeeded;
 
     /**
-     * Describes an attempt.
+     * Describes an attempt on any connection.
      *
      * @param number a number that is unique on this entry host
      * @param request the request
@@ -38,6 +39,26 @@
             boolean cold,
             String expectedBootIdentity,
             BooleanSupplier permission) {
+        this(
+                number,
+                request,
+                backendServer,
+                deadlineMilliseconds,
+                cold,
+                expectedBootIdentity,
+                permission,
+                false);
+    }
+
+    private Attempt(
+            long number,
+            Request request,
+            BackendServer backendServer,
+            long deadlineMilliseconds,
+            boolean cold,
+            String expectedBootIdentity,
+            BooleanSupplier permission,
+            boolean newConnectionNeeded) {
         this.number = number;
         this.request = Objects.requireNonNull(request, "request");
         this.backendServer = Objects.requireNonNull(backendServer, "backendServer");
@@ -46,6 +67,35 @@
         this.expectedBootIdentity =
                 Objects.requireNonNull(expectedBootIdentity, "expectedBootIdentity");
         this.permission = Objects.requireNonNull(permission, "permission");
+        this.newConnectionNeeded = newConnectionNeeded;
+    }
+
+    /**
+     * Returns the same attempt on a connection that is opened for it. A network that loses track of
+     * connections loses all that were open, those to other backend servers too, so an attempt that
+     * follows a silent one must not wait on another of them.
+     *
+     * @return an attempt that uses no kept connection
+     */
+    public Attempt onNewConnection() {
+        return new Attempt(
+                number,
+                request,
+                backendServer,
+                deadlineMilliseconds,
+                cold,
+                expectedBootIdentity,
+                permission,
+                true);
+    }
+
+    /**
+     * Tells whether the attempt must open a connection.
+     *
+     * @return false if a kept connection may be used
+     */
+    public boolean isNewConnectionNeeded() {
+        return newConnectionNeeded;
     }
 
     /**
--- a/library/src/main/java/org/siskinramp/routing/Dispatcher.java
+++ b/library/src/main/java/org/siskinramp/routing/Dispatcher.java
@@ -192,7 +192,8 @@
                         () -> isPermitted(slot, server, deadline));
         state.environment().counters().add(Counter.ATTEMPTS);
         logRoute(run, slot, server, number, reason);
-        effects.add(() -> send(attempt));
+        Attempt sent = run.attemptCount() > 1 ? attempt.onNewConnection() : attempt;
+        effects.add(() -> send(sent));
         scheduleHedge(run, effects);
     }
 
--- a/library/src/test/java/org/siskinramp/routing/FakeServers.java
+++ b/library/src/test/java/org/siskinramp/routing/FakeServers.java
@@ -34,6 +34,7 @@
     private final Map<String, Integer> company = new TreeMap<>();
     private final List<String> overloads = new ArrayList<>();
     private int probes;
+    private boolean keptConnectionsSilent;
 
     public FakeServers(VirtualTime time, LongSupplier workMilliseconds) {
         this.time = time;
@@ -66,6 +67,11 @@
         return probes;
     }
 
+    /** From now on the network loses what is sent on connections that were opened before. */
+    public void silenceKeptConnections() {
+        keptConnectionsSilent = true;
+    }
+
     @Override
     public CompletableFuture<AttemptAnswer> dispatch(Attempt attempt) {
         CompletableFuture<AttemptAnswer> result = new CompletableFuture<>();
@@ -75,7 +81,9 @@
         }
         Running entry = new Running(attempt, result);
         running.put(attempt.number(), entry);
-        time.schedule(DISTANCE_MILLISECONDS, () -> arrive(entry));
+        if (!keptConnectionsSilent || attempt.isNewConnectionNeeded()) {
+            time.schedule(DISTANCE_MILLISECONDS, () -> arrive(entry));
+        }
         long left = attempt.deadlineMilliseconds() - time.monotonicMilliseconds();
         time.schedule(left, () -> fail(entry, AttemptFailure.TIMED_OUT));
         return result;
--- a/library/src/test/java/org/siskinramp/routing/RoutingTest.java
+++ b/library/src/test/java/org/siskinramp/routing/RoutingTest.java
@@ -119,6 +119,16 @@
         assertTrue(runs.stream().allMatch(run -> cell.servers.runsOf(run.request().key()) == 1));
     }
 
+    @Test
+    void readThatMetASilentConnectionIsAnsweredThoughAllKeptOnesAreSilent() {
+        RoutingCell cell = cell(3, 6, 4);
+        load(cell, 300, 3_000, RoutingCell.READ);
+        cell.servers.silenceKeptConnections();
+        RequestRun run = cell.send("entry-0", RoutingCell.READ, "/portal/a", 4_000);
+        cell.time.advance(4_100);
+        assertEquals(200, run.answer().join().status());
+    }
+
     @Test
     void repeatedLoanMessagesGiveNoSlotToTwoHosts() {
         RoutingCell cell = cell(4, 8, 4);
