--- a/daemon/src/main/java/org/siskinramp/daemon/gateway/GatewayDaemon.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/gateway/GatewayDaemon.java
@@ -102,6 +102,7 @@
                 "siskinramp_requests_waiting",
                 "Requests that wait for a backend server.",
                 gateway::waiting);
+        metrics.register("siskinramp_hosts", "Hosts that share the budgets.", gateway::hosts);
         metrics.register(
                 "siskinramp_backend_servers_usable",
                 "Backend servers that may get new requests.",
--- a/daemon/src/main/java/org/siskinramp/daemon/peer/MessageTypes.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/peer/MessageTypes.java
@@ -9,6 +9,8 @@
 import org.siskinramp.peer.ConfigurationAsk;
 import org.siskinramp.peer.ConfigurationNotice;
 import org.siskinramp.peer.ConfigurationPush;
+import org.siskinramp.peer.FeedAsk;
+import org.siskinramp.peer.FeedNews;
 import org.siskinramp.peer.Heartbeat;
 import org.siskinramp.peer.LoanAsk;
 import org.siskinramp.peer.LoanGrant;
@@ -34,6 +36,8 @@
                     Map.entry(AllowanceAsk.class, 10),
                     Map.entry(ConfigurationPush.class, 11),
                     Map.entry(ConfigurationAsk.class, 12),
+                    Map.entry(FeedAsk.class, 13),
+                    Map.entry(FeedNews.class, 14),
                     Map.entry(Hello.class, 100),
                     Map.entry(Receipt.class, 101));
 
--- a/daemon/src/main/java/org/siskinramp/daemon/peer/PeerLink.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/peer/PeerLink.java
@@ -38,7 +38,6 @@
  */
 public final class PeerLink implements PeerSender {
 
-    private static final long TICK_MILLISECONDS = 50;
     private static final long STOP_LIMIT_MILLISECONDS = 1000;
     private static final int INBOUND_LIMIT = 512;
 
@@ -174,7 +173,7 @@
     }
 
     private void select() throws IOException {
-        selector.select(TICK_MILLISECONDS);
+        selector.select(options.tickMilliseconds());
         long nowMilliseconds = clock.monotonicMilliseconds();
         for (SelectionKey key : selector.selectedKeys()) {
             if (key.isValid()) {
--- a/daemon/src/main/java/org/siskinramp/daemon/peer/PeerLinkOptions.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/peer/PeerLinkOptions.java
@@ -13,6 +13,7 @@
     private final int queueLimitFrames;
     private final long silenceLimitMilliseconds;
     private final long seed;
+    private final long tickMilliseconds;
 
     private PeerLinkOptions(Builder builder) {
         hostName = Objects.requireNonNull(builder.hostName, "hostName");
@@ -23,6 +24,7 @@
         queueLimitFrames = builder.queueLimitFrames;
         silenceLimitMilliseconds = builder.silenceLimitMilliseconds;
         seed = builder.seed;
+        tickMilliseconds = builder.tickMilliseconds;
     }
 
     /**
@@ -58,6 +60,10 @@
         return queueLimitFrames;
     }
 
+    long tickMilliseconds() {
+        return tickMilliseconds;
+    }
+
     long silenceLimitMilliseconds() {
         return silenceLimitMilliseconds;
     }
@@ -77,6 +83,7 @@
         private int queueLimitFrames = 256;
         private long silenceLimitMilliseconds = 1500;
         private long seed;
+        private long tickMilliseconds = 50;
 
         private Builder() {}
 
@@ -157,6 +164,17 @@
             return this;
         }
 
+        /**
+         * Sets how often links are looked after while nothing is sent or heard.
+         *
+         * @param value milliseconds
+         * @return this builder
+         */
+        public Builder tickMilliseconds(long value) {
+            tickMilliseconds = value;
+            return this;
+        }
+
         /**
          * Sets the seed of the random part of delays.
          *
--- a/daemon/src/main/java/org/siskinramp/daemon/peer/ValueCodecs.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/peer/ValueCodecs.java
@@ -4,6 +4,7 @@
 import java.lang.reflect.ParameterizedType;
 import java.lang.reflect.Type;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.msgpack.core.MessagePacker;
@@ -60,9 +61,31 @@
         if (type instanceof Class<?> record && record.isRecord()) {
             return RecordCodec.of(record);
         }
+        if (type instanceof Class<?> constants && constants.isEnum()) {
+            return enumOf(constants);
+        }
         throw new IllegalArgumentException("no codec for " + type);
     }
 
+    /** A constant is packed by its name, so that versions may order their constants differently. */
+    private static ValueCodec enumOf(Class<?> type) {
+        Map<String, Object> constants = new HashMap<>();
+        for (Object constant : type.getEnumConstants()) {
+            constants.put(((Enum<?>) constant).name(), constant);
+        }
+        return ValueCodec.of(
+                (packer, value) -> packer.packString(((Enum<?>) value).name()),
+                unpacker -> constant(constants, unpacker.unpackString()));
+    }
+
+    private static Object constant(Map<String, Object> constants, String name) throws IOException {
+        Object constant = constants.get(name);
+        if (constant == null) {
+            throw new IOException("unknown constant " + name);
+        }
+        return constant;
+    }
+
     private static ValueCodec listOf(ValueCodec element) {
         return ValueCodec.of(
                 (packer, value) -> packList(packer, (List<?>) value, element),
--- a/daemon/src/main/java/org/siskinramp/daemon/settings/GatewaySettings.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/GatewaySettings.java
@@ -11,6 +11,7 @@
  * @param callers the side that callers reach
  * @param pages where the pages for operators and machines are served
  * @param store the platform's store
+ * @param peers the side that other hosts reach
  * @param routing how requests are placed
  * @param log the log
  * @param operatorFigures figures that the operators' platform gives by names of its own
@@ -20,6 +21,7 @@
         Callers callers,
         Pages pages,
         Store store,
+        Peers peers,
         Routing routing,
         Settings.Log log,
         Map<String, Double> operatorFigures) {
@@ -31,6 +33,7 @@
      * @param callers the side that callers reach
      * @param pages the pages
      * @param store the platform's store
+     * @param peers the side that other hosts reach
      * @param routing how requests are placed
      * @param log the log
      * @param operatorFigures the figures
@@ -81,6 +84,13 @@
             int serverIntervalMilliseconds,
             int operatorWaitMilliseconds) {}
 
+    /**
+     * Describes the side that other hosts reach.
+     *
+     * @param address where it listens
+     */
+    public record Peers(InetSocketAddress address) {}
+
     /**
      * Describes how requests are placed.
      *
--- a/daemon/src/main/java/org/siskinramp/daemon/settings/GatewaySettingsReader.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/GatewaySettingsReader.java
@@ -13,7 +13,15 @@
     private static final int MEBIBYTE = 1024 * KIBIBYTE;
     private static final int MINUTE_MILLISECONDS = 60_000;
     private static final List<String> SECTIONS =
-            List.of("host", "callers", "pages", "store", "routing", "log", "operator_figures");
+            List.of(
+                    "host",
+                    "callers",
+                    "pages",
+                    "store",
+                    "peers",
+                    "routing",
+                    "log",
+                    "operator_figures");
 
     private final Path file;
     private final TomlParseResult parsed;
@@ -34,6 +42,7 @@
                         readCallers(),
                         readPages(),
                         readStore(),
+                        readPeers(),
                         readRouting(),
                         new Settings.Log(log.logLevel("level", LogLevel.INFO)),
                         section("operator_figures").figures());
@@ -84,13 +93,20 @@
         return store;
     }
 
+    private GatewaySettings.Peers readPeers() {
+        SettingsSection section = section("peers");
+        GatewaySettings.Peers peers = new GatewaySettings.Peers(section.address("address"));
+        section.close();
+        return peers;
+    }
+
     private GatewaySettings.Routing readRouting() {
         SettingsSection section = section("routing");
         GatewaySettings.Routing routing =
                 new GatewaySettings.Routing(
                         section.integer("candidates", 1, 20, 3),
                         section.integer("cross_zone_patience_ms", 0, MINUTE_MILLISECONDS, 15),
-                        section.integer("assumed_hosts", 1, 100_000, 20));
+                        section.integer("assumed_hosts", 1, 100_000, 100));
         section.close();
         return routing;
     }
--- a/library/src/main/java/org/siskinramp/follow/ChangeFollower.java
+++ b/library/src/main/java/org/siskinramp/follow/ChangeFollower.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.siskinramp.log.EventLog;
 import org.siskinramp.log.LogEvent;
 import org.siskinramp.result.Futures;
@@ -13,7 +14,11 @@
 
 /**
  * Follows one table: reads it once, then its changes, and all of it again once the store has
- * dropped the changes in between. Calls are paced, and further apart while the store fails.
+ * dropped the changes in between. Calls are paced, and further apart while the store fails. While a
+ * peer tells what it reads, the table is covered and no calls are made.
+ *
+ * <p>The listener is called under the lock of the follower, so that it hears of versions in order;
+ * a listener's locks are taken after it.
  *
  * @param <T> the type of an item
  */
@@ -31,15 +36,19 @@
     private final String name;
     private final ChangeSource<T> source;
     private final Consumer<Changes<T>> listener;
-    private final long intervalMilliseconds;
-    private final long waitMilliseconds;
+    private final LongSupplier intervalMilliseconds;
+    private final LongSupplier waitMilliseconds;
     private final Clock clock;
     private final Scheduler scheduler;
     private final EventLog eventLog;
     private long version = UNKNOWN;
     private long askedAt;
-    private int failures;
-    private long regainedAt = Long.MIN_VALUE / 2;
+    private volatile int failures;
+    private volatile long regainedAt = Long.MIN_VALUE / 2;
+    private long coveredUntil = Long.MIN_VALUE / 2;
+    private boolean wanted = true;
+    private boolean asking;
+    private long newestTurn;
     private volatile boolean synced;
     private volatile boolean stopped;
 
@@ -47,8 +56,9 @@
         name = Objects.requireNonNull(builder.name, "name");
         source = Objects.requireNonNull(builder.source, "source");
         listener = Objects.requireNonNull(builder.listener, "listener");
-        intervalMilliseconds = builder.intervalMilliseconds;
-        waitMilliseconds = builder.waitMilliseconds;
+        intervalMilliseconds =
+                Objects.requireNonNull(builder.intervalMilliseconds, "intervalMilliseconds");
+        waitMilliseconds = Objects.requireNonNull(builder.waitMilliseconds, "waitMilliseconds");
         clock = Objects.requireNonNull(builder.clock, "clock");
         scheduler = Objects.requireNonNull(builder.scheduler, "scheduler");
         eventLog = Objects.requireNonNull(builder.eventLog, "eventLog");
@@ -74,7 +84,7 @@
 
     /** Starts to follow. */
     public void start() {
-        ask();
+        ask(0);
     }
 
     /** Stops to follow. */
@@ -96,21 +106,101 @@
      *
      * @return milliseconds, a long time if there was no failure
      */
-    public synchronized long sinceRegainedMilliseconds() {
+    public long sinceRegainedMilliseconds() {
         return failures > 0 ? 0 : clock.monotonicMilliseconds() - regainedAt;
     }
 
-    private void ask() {
-        if (stopped) {
-            return;
+    /**
+     * Makes no calls until a time, since a peer tells what it reads of the table.
+     *
+     * @param milliseconds the monotonic time
+     */
+    public synchronized void coverUntil(long milliseconds) {
+        coveredUntil = Math.max(coveredUntil, milliseconds);
+    }
+
+    /**
+     * Tells whether a peer's reads stand in for own ones now.
+     *
+     * @return true while no calls are made
+     */
+    public synchronized boolean isCovered() {
+        return clock.monotonicMilliseconds() < coveredUntil;
+    }
+
+    /**
+     * Returns the version up to which the table is known.
+     *
+     * @return the version, -1 before the first read
+     */
+    public synchronized long version() {
+        return version;
+    }
+
+    /**
+     * Takes what a peer read of the table.
+     *
+     * @param sinceVersion the version after which the changes are told, if they are not all
+     * @param changes what the peer read
+     * @return false if changes before them are missing here
+     */
+    public synchronized boolean offer(long sinceVersion, Changes<T> changes) {
+        if (stopped || version == UNKNOWN) {
+            return false;
+        }
+        if (changes.version() <= version) {
+            return true;
+        }
+        if (!changes.whole() && sinceVersion > version) {
+            return false;
+        }
+        version = changes.version();
+        listener.accept(changes);
+        return true;
+    }
+
+    /** Reads the changes soon, though the table is covered. */
+    public void readNow() {
+        synchronized (this) {
+            wanted = true;
+            if (asking) {
+                return;
+            }
+        }
+        schedule(0);
+    }
+
+    private void schedule(long pause) {
+        long turn;
+        synchronized (this) {
+            newestTurn++;
+            turn = newestTurn;
         }
+        scheduler.schedule(pause, () -> ask(turn));
+    }
+
+    private void ask(long turn) {
         long from;
+        long covered;
         synchronized (this) {
-            askedAt = clock.monotonicMilliseconds();
+            if (stopped || asking || turn != newestTurn) {
+                return;
+            }
+            long now = clock.monotonicMilliseconds();
+            covered = wanted ? 0 : coveredUntil - now;
+            asking = covered <= 0;
+            wanted &= !asking;
+            askedAt = now;
             from = version;
         }
+        if (covered > 0) {
+            schedule(covered);
+            return;
+        }
         CompletableFuture<Changes<T>> answer =
-                from == UNKNOWN ? source.readAll() : source.changesAfter(from, waitMilliseconds);
+                from == UNKNOWN
+                        ? source.readAll()
+                        : source.changesAfter(from, waitMilliseconds.getAsLong());
         Futures.whenDone(
                 answer,
                 (changes, failure) -> {
@@ -123,31 +213,39 @@
     }
 
     private void take(Changes<T> changes) {
-        long pause;
-        synchronized (this) {
-            if (failures > 0) {
-                regainedAt = clock.monotonicMilliseconds();
-                eventLog.record(
-                        LogEvent.named("store_regained")
-                                .with("table", name)
-                                .with("failures", failures)
-                                .with("version", changes.version()));
-                failures = 0;
-            }
-            version = changes.version();
-            pause = Math.max(0, askedAt + intervalMilliseconds - clock.monotonicMilliseconds());
-        }
+        long pause = 0;
         try {
-            listener.accept(changes);
-            synced = true;
+            synchronized (this) {
+                asking = false;
+                logReturn(changes);
+                long next = askedAt + intervalMilliseconds.getAsLong();
+                pause = wanted ? 0 : Math.max(0, next - clock.monotonicMilliseconds());
+                version = changes.version();
+                listener.accept(changes);
+                synced = true;
+            }
         } finally {
-            scheduler.schedule(pause, this::ask);
+            schedule(pause);
+        }
+    }
+
+    private void logReturn(Changes<T> changes) {
+        if (failures > 0) {
+            regainedAt = clock.monotonicMilliseconds();
+            eventLog.record(
+                    LogEvent.named("store_regained")
+                            .with("table", name)
+                            .with("failures", failures)
+                            .with("version", changes.version()));
+            failures = 0;
         }
     }
 
     private void failed(ResultException failure) {
         long pause = 0;
         synchronized (this) {
+            asking = false;
+            wanted = true;
             boolean historyGone = failure.code() == ResultCode.HISTORY_GONE && version != UNKNOWN;
             if (historyGone) {
                 eventLog.record(
@@ -157,11 +255,11 @@
                 version = UNKNOWN;
             } else {
                 pause = FIRST_PAUSE_MILLISECONDS << Math.min(failures, DOUBLINGS_AT_MOST);
-                failures++;
+                failures = failures + 1;
                 logLoss(failure);
             }
         }
-        scheduler.schedule(Math.min(pause, LONGEST_PAUSE_MILLISECONDS), this::ask);
+        schedule(Math.min(pause, LONGEST_PAUSE_MILLISECONDS));
     }
 
     private void logLoss(ResultException failure) {
@@ -185,8 +283,8 @@
         private String name;
         private ChangeSource<T> source;
         private Consumer<Changes<T>> listener;
-        private long intervalMilliseconds = 1_000;
-        private long waitMilliseconds;
+        private LongSupplier intervalMilliseconds = () -> 1_000;
+        private LongSupplier waitMilliseconds = () -> 0;
         private Clock clock;
         private Scheduler scheduler;
         private EventLog eventLog;
@@ -196,10 +294,10 @@
         /**
          * Sets the least time between two calls.
          *
-         * @param value milliseconds
+         * @param value gives milliseconds before each call
          * @return this builder
          */
-        public Builder<T> intervalMilliseconds(long value) {
+        public Builder<T> intervalMilliseconds(LongSupplier value) {
             intervalMilliseconds = value;
             return this;
         }
@@ -207,10 +305,10 @@
         /**
          * Sets how long a call waits for the first change.
          *
-         * @param value milliseconds, 0 for an answer at once
+         * @param value gives milliseconds before each call, 0 for an answer at once
          * @return this builder
          */
-        public Builder<T> waitMilliseconds(long value) {
+        public Builder<T> waitMilliseconds(LongSupplier value) {
             waitMilliseconds = value;
             return this;
         }
--- a/library/src/main/java/org/siskinramp/gateway/Gateway.java
+++ b/library/src/main/java/org/siskinramp/gateway/Gateway.java
@@ -47,7 +47,7 @@
     private final SplitChoice splits = new SplitChoice();
     private final Map<String, ServicePool> pools = new HashMap<>();
     private volatile RouteTable routes = NO_ROUTES;
-    private final int hosts;
+    private final HostCount hosts;
     private int inProgress;
 
     /**
@@ -55,12 +55,12 @@
      *
      * @param environment what it uses of the outside
      * @param options times, counts and budgets
-     * @param hosts how many hosts to assume that share the budgets
+     * @param hosts how many hosts to assume that share the budgets until they are counted
      */
     public Gateway(GatewayEnvironment environment, GatewayOptions options, int hosts) {
         this.environment = environment;
         this.options = options;
-        this.hosts = hosts;
+        this.hosts = new HostCount(hosts);
     }
 
     /**
@@ -85,6 +85,30 @@
                 });
     }
 
+    /**
+     * Follows the number of hosts, whose parts of the shared budgets change with it.
+     *
+     * @param counted how many hosts there are, this one included
+     */
+    public void followHosts(int counted) {
+        if (hosts.hosts() != counted) {
+            record(
+                    LogEvent.named("hosts_counted")
+                            .with("hosts", counted)
+                            .with("hosts_before", hosts.hosts()));
+        }
+        hosts.follow(counted);
+    }
+
+    /**
+     * Returns how many hosts share the budgets.
+     *
+     * @return the number that is assumed or was counted
+     */
+    public int hosts() {
+        return hosts.hosts();
+    }
+
     /**
      * Returns the routes in force on this host.
      *
--- a/library/src/main/java/org/siskinramp/gateway/ServerScope.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServerScope.java
@@ -22,11 +22,17 @@
     private final GatewayEnvironment environment;
     private final GatewayOptions options;
     private final Fleet fleet;
-    private final Map<String, TokenBucket> coldPaces = new HashMap<>();
+    private final ColdRate coldRate;
+    private final Map<String, ColdTurns> coldTurns = new HashMap<>();
 
     ServerScope(
-            String service, GatewayEnvironment environment, GatewayOptions options, Fleet fleet) {
+            String service,
+            GatewayEnvironment environment,
+            GatewayOptions options,
+            Fleet fleet,
+            ColdRate coldRate) {
         this.service = service;
+        this.coldRate = coldRate;
         this.environment = environment;
         this.options = options;
         this.fleet = fleet;
@@ -58,7 +64,11 @@
         if (!healthy.isEmpty()) {
             return healthy;
         }
-        return warm.isEmpty() ? usable : warm;
+        if (!warm.isEmpty()) {
+            return warm;
+        }
+        List<KnownServer> inTurn = filter(usable, server -> isInTurn(server, now));
+        return inTurn.isEmpty() ? usable : inTurn;
     }
 
     private static List<KnownServer> filter(
@@ -72,23 +82,29 @@
         return kept;
     }
 
-    /**
-     * Takes one request out of this host's part of the rate that a cold server bears. The part
-     * starts at a random fill, so that hosts which learn of the server together do not use it
-     * together.
-     *
-     * @param server the server
-     * @param coldRequestsPerSecond what it bears from all hosts together
-     * @param hosts how many hosts share it
-     * @param now monotonic milliseconds
-     * @return false if this host has to wait
-     */
-    boolean takeColdRequest(KnownServer server, double coldRequestsPerSecond, int hosts, long now) {
-        double rate = coldRequestsPerSecond * options.coldOverage() / Math.max(1, hosts);
-        return coldPaces
-                .computeIfAbsent(
-                        server.server().name(),
-                        name -> new TokenBucket(environment.random().nextDouble(), now))
-                .take(1, now, rate, 1);
+    /** Uses this host's turn at a cold server; returns false if it has to wait for one. */
+    boolean takeColdTurn(KnownServer server, long now) {
+        if (!isInTurn(server, now)) {
+            return false;
+        }
+        turns(server).use();
+        return true;
+    }
+
+    private boolean isInTurn(KnownServer server, long now) {
+        double perSecond = coldRate.perSecond() * options.coldOverage();
+        return perSecond > 0 && turns(server).isOpen(perSecond, coldRate.hosts(), now);
+    }
+
+    private ColdTurns turns(KnownServer server) {
+        return coldTurns.computeIfAbsent(
+                server.server().name(), name -> new ColdTurns(environment.random()::nextDouble));
+    }
+
+    /** Tells how often all hosts together may send to a cold server, and how many they are. */
+    interface ColdRate {
+        double perSecond();
+
+        int hosts();
     }
 }
--- a/library/src/main/java/org/siskinramp/gateway/ServicePool.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServicePool.java
@@ -13,6 +13,7 @@
 import org.siskinramp.queue.WaitingQueue;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.route.RouteTable;
+import org.siskinramp.route.RoutedService;
 import org.siskinramp.routing.Effects;
 
 /**
@@ -37,7 +38,7 @@
     private final GatewayOptions options;
     private final Locked locked;
     private final Supplier<RouteTable> routes;
-    private final int hosts;
+    private final HostCount hosts;
     private final ServerScope scope;
     private final AttemptDesk desk;
     private final RunEnds ends;
@@ -56,14 +57,14 @@
             Fleet fleet,
             Locked locked,
             Supplier<RouteTable> routes,
-            int hosts) {
+            HostCount hosts) {
         this.service = service;
         this.environment = environment;
         this.options = options;
         this.locked = locked;
         this.routes = routes;
         this.hosts = hosts;
-        scope = new ServerScope(service, environment, options, fleet);
+        scope = new ServerScope(service, environment, options, fleet, newColdRate());
         desk = new AttemptDesk(environment, fleet, locked, this);
         ends = new RunEnds(environment);
         placement = new PlacementChoice(environment.availabilityZone(), limit);
@@ -204,7 +205,7 @@
      */
     boolean place(KnownServer server, String reason, Effects effects) {
         long now = now();
-        if (server.isCold(now) && !takeColdRequest(server, now)) {
+        if (server.isCold(now) && !scope.takeColdTurn(server, now)) {
             return false;
         }
         Optional<GatewayRun> next =
@@ -219,14 +220,21 @@
         return true;
     }
 
-    private boolean takeColdRequest(KnownServer server, long now) {
-        return routes.get()
-                .service(service)
-                .filter(
-                        cold ->
-                                scope.takeColdRequest(
-                                        server, cold.coldRequestsPerSecond(), hosts, now))
-                .isPresent();
+    private ServerScope.ColdRate newColdRate() {
+        return new ServerScope.ColdRate() {
+            @Override
+            public double perSecond() {
+                return routes.get()
+                        .service(service)
+                        .map(RoutedService::coldRequestsPerSecond)
+                        .orElse(0.0);
+            }
+
+            @Override
+            public int hosts() {
+                return hosts.hosts();
+            }
+        };
     }
 
     @Override
@@ -285,8 +293,7 @@
             return false;
         }
         if (run.arrivals() > 0) {
-            double slack = (double) options.retrySlack() / Math.max(1, hosts);
-            if (!retryBudget.allows(now, Math.max(1, slack))) {
+            if (!retryBudget.allows(now, hosts.partOf(options.retrySlack()))) {
                 return false;
             }
             retryBudget.countRepeat(now);
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/peer/FeedNews.java
@@ -0,0 +1,54 @@
+package org.siskinramp.peer;
+
+import java.util.List;
+import org.siskinramp.fleet.ServerEntry;
+
+/**
+ * Tells what its sender read of the platform's tables. Ages are counted to the moment of sending.
+ *
+ * @param sinceVersion the version after which the changes of the backend servers are told
+ * @param version the version up to which they are told
+ * @param whole true if the servers are all there are
+ * @param more true if another message with the same versions goes on with the list
+ * @param servers entries that are new or changed
+ * @param gone names of servers whose entries went
+ * @param ageMilliseconds how long ago the servers were read
+ * @param regainedMilliseconds how long ago the sender reached the store again after a failure
+ * @param operatorVersion the version of the last change by an operator
+ * @param operatorAgeMilliseconds how long ago the operator's table was read
+ * @param hosts how many hosts the sender counts
+ */
+public record FeedNews(
+        long sinceVersion,
+        long version,
+        boolean whole,
+        boolean more,
+        List<ServerEntry> servers,
+        List<String> gone,
+        long ageMilliseconds,
+        long regainedMilliseconds,
+        long operatorVersion,
+        long operatorAgeMilliseconds,
+        int hosts)
+        implements PeerMessage {
+
+    /**
+     * Copies the lists so that the message cannot change.
+     *
+     * @param sinceVersion the version after which changes are told
+     * @param version the version up to which they are told
+     * @param whole whether the servers are all there are
+     * @param more whether another message goes on with the list
+     * @param servers the entries
+     * @param gone the names of servers that went
+     * @param ageMilliseconds the age of the servers
+     * @param regainedMilliseconds how long ago the store was reached again
+     * @param operatorVersion the version of the last change by an operator
+     * @param operatorAgeMilliseconds the age of the operator's table
+     * @param hosts the number of hosts
+     */
+    public FeedNews {
+        servers = List.copyOf(servers);
+        gone = List.copyOf(gone);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/relay/FeedRelay.java
@@ -0,0 +1,356 @@
+package org.siskinramp.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.IntConsumer;
+import org.siskinramp.fleet.ServerEntry;
+import org.siskinramp.follow.ChangeFollower;
+import org.siskinramp.follow.Changes;
+import org.siskinramp.follow.OperatorChange;
+import org.siskinramp.follow.ServerChange;
+import org.siskinramp.log.EventLog;
+import org.siskinramp.log.LogEvent;
+import org.siskinramp.peer.FeedAsk;
+import org.siskinramp.peer.FeedNews;
+import org.siskinramp.peer.PeerMessage;
+import org.siskinramp.peer.PeerSender;
+import org.siskinramp.time.Clock;
+import org.siskinramp.time.Scheduler;
+
+/**
+ * Shares the reads of the platform's tables. A few hosts read, the others ask one of them to be
+ * told. Answers a store whose calls are priced and bounded in number: calls no longer grow with the
+ * hosts, and a host whose reader falls silent reads for itself before its sight is too old.
+ *
+ * <p>Only a host that reads for itself tells others, so what is told is never older than one read
+ * and one message. Lock order: that of a follower, then that of the relay.
+ */
+public final class FeedRelay {
+
+    /** How often a host repeats that it wants to be told. */
+    private static final long ASK_MILLISECONDS = 1_000;
+
+    /** Hosts that start together have published themselves by then. */
+    private static final long FIRST_LOOK_MILLISECONDS = 1_500;
+
+    /** The hosts are read again only if no reader tells how many there are. */
+    private static final long HOSTS_SPAN_MILLISECONDS = 30_000;
+
+    /** About 30 kB in a frame. */
+    private static final int SERVERS_OF_A_MESSAGE = 200;
+
+    private final Clock clock;
+    private final Scheduler scheduler;
+    private final EventLog eventLog;
+    private final RelayOptions options;
+    private final IntConsumer hostCount;
+    private final HostTable table = new HostTable();
+    private final ServerBook book = new ServerBook();
+    private final Subscribers subscribers = new Subscribers();
+    private final SourceChoice choice = new SourceChoice();
+    private final List<ServerEntry> parts = new ArrayList<>();
+    private Optional<String> source = Optional.empty();
+    private long serversReadAt;
+    private long operatorReadAt;
+    private long operatorVersion;
+    private volatile HostEntry self;
+    private volatile PeerSender sender;
+    private volatile Followers followers;
+    private volatile long fedUntil = Long.MIN_VALUE / 2;
+    private volatile long regainedElsewhereAt = Long.MIN_VALUE / 2;
+
+    /**
+     * Creates a relay, which must be started.
+     *
+     * @param options how old a sight may be
+     * @param clock tells the time
+     * @param scheduler runs delayed tasks
+     * @param eventLog is told whom this host asks
+     * @param hostCount is told how many hosts there are
+     */
+    public FeedRelay(
+            RelayOptions options,
+            Clock clock,
+            Scheduler scheduler,
+            EventLog eventLog,
+            IntConsumer hostCount) {
+        this.options = options;
+        this.clock = clock;
+        this.scheduler = scheduler;
+        this.eventLog = eventLog;
+        this.hostCount = hostCount;
+    }
+
+    /**
+     * Publishes this host, and asks and tells others from then on. The followers of the servers and
+     * the operator are started by their owner.
+     *
+     * @param entry this host
+     * @param registry where it is published
+     * @param peers sends to other hosts
+     * @param followed the followers of this host
+     */
+    public void start(
+            HostEntry entry, HostRegistry registry, PeerSender peers, Followers followed) {
+        self = Objects.requireNonNull(entry, "entry");
+        sender = Objects.requireNonNull(peers, "peers");
+        followers = Objects.requireNonNull(followed, "followed");
+        new HostPublisher(registry, entry, scheduler, eventLog).publish();
+        scheduler.schedule(
+                FIRST_LOOK_MILLISECONDS,
+                () -> {
+                    followed.hosts().start();
+                    scheduler.schedule(ASK_MILLISECONDS, this::tick);
+                });
+    }
+
+    /**
+     * Takes what this host read or was told of the hosts.
+     *
+     * @param changes the changes
+     */
+    public void hostsRead(Changes<HostChange> changes) {
+        int count;
+        synchronized (this) {
+            table.follow(changes, now());
+            count = table.count(self.name(), now());
+        }
+        hostCount.accept(count);
+    }
+
+    /**
+     * Takes what this host read or was told of the backend servers, and tells those that asked.
+     *
+     * @param changes the changes
+     */
+    public void serversRead(Changes<ServerChange> changes) {
+        synchronized (this) {
+            book.follow(changes, now());
+            serversReadAt = now();
+        }
+        tellAll();
+    }
+
+    /**
+     * Takes what this host read of the operator's table, and tells those that asked.
+     *
+     * @param changes the changes
+     */
+    public void operatorRead(Changes<OperatorChange> changes) {
+        synchronized (this) {
+            operatorReadAt = now();
+            if (changes.whole() || !changes.items().isEmpty()) {
+                operatorVersion = changes.version();
+            }
+        }
+        tellAll();
+    }
+
+    private void tellAll() {
+        if (isFed()) {
+            return;
+        }
+        List<String> hosts;
+        synchronized (this) {
+            hosts = subscribers.hosts();
+        }
+        hosts.forEach(this::tell);
+    }
+
+    private boolean isFed() {
+        return now() < fedUntil;
+    }
+
+    private void tell(String host) {
+        List<FeedNews> messages;
+        synchronized (this) {
+            if (book.version() < 0 || operatorVersion == 0) {
+                return;
+            }
+            messages = newsFor(subscribers.toldVersion(host));
+            subscribers.told(host, book.version());
+        }
+        messages.forEach(message -> sender.send(host, message));
+    }
+
+    private List<FeedNews> newsFor(long known) {
+        long now = now();
+        ServerBook.News news = book.since(known, now);
+        List<FeedNews> messages = new ArrayList<>();
+        int from = 0;
+        do {
+            int to = Math.min(news.entries().size(), from + SERVERS_OF_A_MESSAGE);
+            messages.add(
+                    new FeedNews(
+                            known,
+                            book.version(),
+                            news.whole(),
+                            to < news.entries().size(),
+                            news.entries().subList(from, to),
+                            news.gone(),
+                            now - serversReadAt,
+                            followers.sinceRegainedMilliseconds(),
+                            operatorVersion,
+                            now - operatorReadAt,
+                            table.count(self.name(), now)));
+            from = to;
+        } while (from < news.entries().size());
+        return messages;
+    }
+
+    /**
+     * Takes a message of another host. Messages that are not of the relay are passed over.
+     *
+     * @param host the sender
+     * @param message the message
+     */
+    public void receive(String host, PeerMessage message) {
+        if (message instanceof FeedAsk ask) {
+            asked(host, ask);
+        } else if (message instanceof FeedNews news) {
+            told(host, news);
+        }
+    }
+
+    private void asked(String host, FeedAsk ask) {
+        boolean news;
+        synchronized (this) {
+            news = subscribers.ask(host, ask, now());
+        }
+        if (news && !isFed()) {
+            tell(host);
+        }
+    }
+
+    private void told(String host, FeedNews news) {
+        List<ServerEntry> entries;
+        synchronized (this) {
+            if (!choice.isSource(host)) {
+                return;
+            }
+            choice.heard(now());
+            parts.addAll(news.servers());
+            if (news.more()) {
+                return;
+            }
+            entries = new ArrayList<>(parts);
+            parts.clear();
+        }
+        regainedElsewhereAt = now() - news.regainedMilliseconds();
+        if (followers.servers().offer(news.sinceVersion(), changesOf(news, entries))) {
+            cover(news);
+        } else {
+            ask(host);
+        }
+    }
+
+    private static Changes<ServerChange> changesOf(FeedNews news, List<ServerEntry> entries) {
+        List<ServerChange> changes = new ArrayList<>(entries.size() + news.gone().size());
+        entries.forEach(
+                entry -> changes.add(new ServerChange(entry.server().name(), Optional.of(entry))));
+        news.gone().forEach(name -> changes.add(new ServerChange(name, Optional.empty())));
+        return new Changes<>(news.version(), news.whole(), changes);
+    }
+
+    private void cover(FeedNews news) {
+        long serversUntil = now() - news.ageMilliseconds() + options.serverSpanMilliseconds();
+        long operatorUntil =
+                now() - news.operatorAgeMilliseconds() + options.operatorSpanMilliseconds();
+        fedUntil = Math.min(serversUntil, operatorUntil);
+        followers.servers().coverUntil(serversUntil);
+        followers.operator().coverUntil(operatorUntil);
+        followers.hosts().coverUntil(now() + HOSTS_SPAN_MILLISECONDS);
+        if (followers.operator().version() < news.operatorVersion()) {
+            followers.operator().readNow();
+        }
+        hostCount.accept(news.hosts());
+    }
+
+    private void tick() {
+        try {
+            Optional<String> asked;
+            synchronized (this) {
+                subscribers.dropSilent(now());
+                asked = chooseSource();
+            }
+            asked.ifPresent(this::ask);
+        } finally {
+            scheduler.schedule(ASK_MILLISECONDS, this::tick);
+        }
+    }
+
+    private Optional<String> chooseSource() {
+        long now = now();
+        boolean reads =
+                table.readers(now).stream().anyMatch(reader -> reader.name().equals(self.name()));
+        Optional<String> chosen =
+                reads ? Optional.empty() : choice.next(table.readersFor(self, now), now);
+        if (!chosen.equals(source)) {
+            source = chosen;
+            parts.clear();
+            eventLog.record(
+                    LogEvent.named("feed_source")
+                            .with("peer", chosen.orElse("none"))
+                            .with("reads_for_others", reads)
+                            .with("hosts", table.count(self.name(), now)));
+        }
+        return chosen;
+    }
+
+    private void ask(String host) {
+        sender.send(host, new FeedAsk(self.address(), followers.servers().version()));
+    }
+
+    /**
+     * Finds where a host hears others.
+     *
+     * @param host the host's name
+     * @return its address as {@code ip:port}, or empty if it is not known
+     */
+    public synchronized Optional<String> addressOf(String host) {
+        Optional<String> asked = subscribers.addressOf(host);
+        return asked.isPresent() ? asked : table.addressOf(host);
+    }
+
+    /**
+     * Tells whether other hosts rely on the reads of this one.
+     *
+     * @return true while any host asks to be told
+     */
+    public synchronized boolean isAsked() {
+        return !subscribers.isEmpty();
+    }
+
+    /**
+     * Returns how long ago the host that tells this one reached the store again.
+     *
+     * @return milliseconds, a long time if there was no failure
+     */
+    public long sinceRegainedMilliseconds() {
+        return now() - regainedElsewhereAt;
+    }
+
+    private long now() {
+        return clock.monotonicMilliseconds();
+    }
+
+    /**
+     * Holds the followers of a host's tables.
+     *
+     * @param servers follows the backend servers
+     * @param operator follows the operator's table
+     * @param hosts follows the hosts
+     */
+    public record Followers(
+            ChangeFollower<ServerChange> servers,
+            ChangeFollower<OperatorChange> operator,
+            ChangeFollower<HostChange> hosts) {
+
+        private long sinceRegainedMilliseconds() {
+            return Math.min(
+                    servers.sinceRegainedMilliseconds(), operator.sinceRegainedMilliseconds());
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/relay/HostTable.java
@@ -0,0 +1,97 @@
+package org.siskinramp.relay;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import net.openhft.hashing.LongHashFunction;
+import org.siskinramp.follow.Changes;
+
+/**
+ * Keeps the hosts that published themselves, and says which of them read for the others. All hosts
+ * put them in the same order without a message, and no availability zone comes first in it. It is
+ * guarded by the lock of its owner.
+ */
+final class HostTable {
+
+    /** With two, the loss of a reader makes no other host read for itself for long. */
+    private static final int FEWEST_READERS = 2;
+
+    /** A reader sends to this many hosts about twice a second, well below 1 % of a small core. */
+    private static final int HOSTS_OF_A_READER = 24;
+
+    /** An entry is renewed far more often; a host that was replaced is no longer counted then. */
+    private static final long FORGOTTEN_MILLISECONDS = 16 * 60_000;
+
+    private static final LongHashFunction HASH = LongHashFunction.xx();
+    private static final Comparator<HostEntry> ORDER =
+            Comparator.comparingLong((HostEntry host) -> hash(host.name()))
+                    .thenComparing(HostEntry::name);
+
+    private final Map<String, Seen> hosts = new HashMap<>();
+
+    private static long hash(String name) {
+        return HASH.hashBytes(name.getBytes(StandardCharsets.UTF_8));
+    }
+
+    void follow(Changes<HostChange> changes, long now) {
+        if (changes.whole()) {
+            hosts.clear();
+        }
+        for (HostChange change : changes.items()) {
+            change.entry()
+                    .ifPresentOrElse(
+                            entry -> hosts.put(change.name(), new Seen(entry, now)),
+                            () -> hosts.remove(change.name()));
+        }
+    }
+
+    /** Counts the hosts, the asking one included even if its entry was not read yet. */
+    int count(String self, long now) {
+        int counted = (int) present(now).stream().filter(host -> !host.name().equals(self)).count();
+        return counted + 1;
+    }
+
+    /** Lists the hosts that read for the others. */
+    List<HostEntry> readers(long now) {
+        List<HostEntry> ordered = present(now);
+        ordered.sort(ORDER);
+        int readers = Math.max(FEWEST_READERS, ceil(ordered.size(), HOSTS_OF_A_READER));
+        return ordered.subList(0, Math.min(readers, ordered.size()));
+    }
+
+    /** Lists the readers in the order in which a host asks them: those of its zone come first. */
+    List<HostEntry> readersFor(HostEntry self, long now) {
+        List<HostEntry> readers = new ArrayList<>(readers(now));
+        readers.removeIf(reader -> reader.name().equals(self.name()));
+        readers.sort(
+                Comparator.comparing(
+                                (HostEntry reader) ->
+                                        !reader.availabilityZone().equals(self.availabilityZone()))
+                        .thenComparingLong(reader -> hash(self.name() + reader.name())));
+        return readers;
+    }
+
+    Optional<String> addressOf(String host) {
+        return Optional.ofNullable(hosts.get(host)).map(seen -> seen.entry.address());
+    }
+
+    private List<HostEntry> present(long now) {
+        List<HostEntry> present = new ArrayList<>(hosts.size());
+        for (Seen seen : hosts.values()) {
+            if (now - seen.milliseconds < FORGOTTEN_MILLISECONDS) {
+                present.add(seen.entry);
+            }
+        }
+        return present;
+    }
+
+    private static int ceil(int dividend, int divisor) {
+        return (dividend + divisor - 1) / divisor;
+    }
+
+    private record Seen(HostEntry entry, long milliseconds) {}
+}
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/relay/RelayOptions.java
@@ -0,0 +1,32 @@
+package org.siskinramp.relay;
+
+/**
+ * Holds how old a sight of the platform's tables may be.
+ *
+ * @param serverSpanMilliseconds the greatest age of a read of the backend servers before this host
+ *     reads for itself
+ * @param operatorSpanMilliseconds the same for the operator's table
+ */
+public record RelayOptions(long serverSpanMilliseconds, long operatorSpanMilliseconds) {
+
+    /** Two reads fit into a span, so that one that comes late makes no other host read. */
+    private static final double READ_PART = 0.67;
+
+    /**
+     * Returns how often a host that tells others reads the backend servers.
+     *
+     * @return milliseconds
+     */
+    public long serverReadMilliseconds() {
+        return Math.round(READ_PART * serverSpanMilliseconds);
+    }
+
+    /**
+     * Returns how long a host that tells others waits for a change by the operator in one call.
+     *
+     * @return milliseconds
+     */
+    public long operatorReadMilliseconds() {
+        return Math.round(READ_PART * operatorSpanMilliseconds);
+    }
+}
--- a/library/src/test/java/org/siskinramp/follow/ChangeFollowerTest.java
+++ b/library/src/test/java/org/siskinramp/follow/ChangeFollowerTest.java
@@ -40,7 +40,7 @@
 
     private final ChangeFollower<String> follower =
             ChangeFollower.builder("t", source, changes -> taken.addAll(changes.items()))
-                    .intervalMilliseconds(1_000)
+                    .intervalMilliseconds(() -> 1_000)
                     .clock(time)
                     .scheduler(time)
                     .eventLog(this::record)
@@ -95,6 +95,70 @@
         assertEquals(List.of("store_lost", "store_regained"), events);
     }
 
+    @Test
+    void makesNoCallsWhileCoveredAndOneOnceTheCoverEnds() {
+        answers.add(done(5, true, "a"));
+        follower.start();
+        follower.coverUntil(4_000);
+        assertTrue(follower.isCovered());
+        time.advance(4_500);
+        assertEquals(List.of("all@0", "after-5@4000"), calls);
+        assertFalse(follower.isCovered());
+    }
+
+    @Test
+    void takesWhatAPeerReadAndGoesOnFromThere() {
+        answers.add(done(5, true, "a"));
+        follower.start();
+        assertTrue(follower.offer(4, new Changes<>(9, false, List.of("b"))));
+        assertEquals(9, follower.version());
+        time.advance(1_500);
+        assertEquals(List.of("all@0", "after-9@1000"), calls);
+        assertEquals(List.of("a", "b"), taken);
+    }
+
+    @Test
+    void takesNothingAgainAndNothingAfterAGap() {
+        answers.add(done(5, true, "a"));
+        follower.start();
+        assertTrue(follower.offer(3, new Changes<>(5, false, List.of("old"))));
+        assertFalse(follower.offer(6, new Changes<>(9, false, List.of("later"))));
+        assertTrue(follower.offer(-1, new Changes<>(9, true, List.of("all"))));
+        assertEquals(List.of("a", "all"), taken);
+    }
+
+    @Test
+    void takesNothingFromAPeerBeforeItsFirstOwnRead() {
+        assertFalse(follower.offer(-1, new Changes<>(9, true, List.of("all"))));
+        assertEquals(List.of(), taken);
+    }
+
+    @Test
+    void readsAtOnceThoughCoveredIfAsked() {
+        answers.add(done(5, true, "a"));
+        answers.add(done(8, false, "b"));
+        follower.start();
+        follower.coverUntil(60_000);
+        time.advance(300);
+        follower.readNow();
+        time.advance(5_000);
+        assertEquals(List.of("all@0", "after-5@300"), calls);
+        assertEquals(List.of("a", "b"), taken);
+    }
+
+    @Test
+    void goesOnTryingThoughCoveredUntilAReadThatWasAskedForSucceeds() {
+        answers.add(done(5, true, "a"));
+        answers.add(failed(ResultCode.PLATFORM_UNAVAILABLE));
+        answers.add(done(8, false, "b"));
+        follower.start();
+        follower.coverUntil(60_000);
+        time.advance(300);
+        follower.readNow();
+        time.advance(5_000);
+        assertEquals(List.of("all@0", "after-5@300", "after-5@400"), calls);
+    }
+
     private static CompletableFuture<Changes<String>> done(
             long version, boolean whole, String item) {
         return CompletableFuture.completedFuture(new Changes<>(version, whole, List.of(item)));
--- a/library/src/test/java/org/siskinramp/gateway/GatewayTest.java
+++ b/library/src/test/java/org/siskinramp/gateway/GatewayTest.java
@@ -301,6 +301,22 @@
         assertTrue(runs <= 100 * 1.2 + 4, "runs: " + runs);
     }
 
+    @Test
+    void repeatsOfAllCountedHostsTogetherStayInTheBudget() {
+        for (int number = 0; number < 6; number++) {
+            publish(
+                    servers.add("lossy-" + number, "zone-1", 4, 20)
+                            .behave(ModelServers.Behaviour.FAIL));
+        }
+        gateway.followHosts(100);
+        for (int request = 0; request < 4; request++) {
+            sendAll(READ, 1);
+            time.advance(500);
+        }
+        int runs = servers.all().stream().mapToInt(ModelServers.Model::runs).sum();
+        assertEquals(4, runs);
+    }
+
     @Test
     void anOlderConfigurationNeverReplacesANewerOne() {
         gateway.follow(new RouteTable(0, List.of(), List.of(), new CallerLimits(1, 1, 1, 1)));
--- /dev/null
+++ b/library/src/test/java/org/siskinramp/relay/FeedRelayTest.java
@@ -0,0 +1,178 @@
+package org.siskinramp.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** A store whose calls are priced serves many hosts, of which readers die and are cut off. */
+class FeedRelayTest {
+
+    private static final int HOSTS = 20;
+
+    /** The bound of the platform for a change to be in force. */
+    private static final long BOUND = 2_000;
+
+    private static final long SETTLED = 6_000;
+
+    private static RelayWorld settled(int hosts) {
+        RelayWorld world = new RelayWorld(hosts);
+        world.time.advance(SETTLED);
+        return world;
+    }
+
+    private static int callsIn(RelayWorld world, long milliseconds) {
+        int before = world.calls;
+        world.time.advance(milliseconds);
+        return world.calls - before;
+    }
+
+    private static void assertAllKnow(RelayWorld world, String server, String setting) {
+        for (RelayWorld.Host host : world.hosts.values()) {
+            if (host.alive && world.reaches(host)) {
+                assertTrue(host.draining.contains(server), host.name + " " + server);
+                assertTrue(host.settings.contains(setting), host.name + " " + setting);
+            }
+        }
+    }
+
+    @Test
+    void twoHostsReadForAllOnesThatStartTogether() {
+        RelayWorld world = settled(HOSTS);
+        assertEquals(2, world.readers().size());
+        int calls = callsIn(world, 20_000);
+        assertTrue(calls <= 2 * 20 * 2.3, "calls " + calls);
+    }
+
+    @Test
+    void withoutOthersAHostReadsAtItsOwnPace() {
+        RelayWorld world = settled(1);
+        int calls = callsIn(world, 30_000);
+        assertTrue(calls <= 30 * 1.4, "calls " + calls);
+    }
+
+    @Test
+    void callsGrowWithTheReadersAndMessagesOfAHostStayTheSame() {
+        for (int hosts : new int[] {24, 100, 300}) {
+            RelayWorld world = settled(hosts);
+            int messages = world.messages;
+            int calls = callsIn(world, 10_000);
+            int readers = Math.max(2, (hosts + 23) / 24);
+            assertTrue(calls <= readers * 10 * 2.4, hosts + " hosts: calls " + calls);
+            double each = (world.messages - messages) / 10.0 / hosts;
+            assertTrue(each <= 4, hosts + " hosts: messages " + each);
+        }
+    }
+
+    @Test
+    void allHostsCountEachOther() {
+        RelayWorld world = settled(HOSTS);
+        world.time.advance(12_000);
+        world.hosts.values().forEach(host -> assertEquals(HOSTS, host.counted, host.name));
+    }
+
+    @Test
+    void changesReachAllHostsSoonerThanTheBound() {
+        RelayWorld world = settled(HOSTS);
+        world.write("servers/a");
+        world.write("op/evacuate");
+        world.time.advance(1_100);
+        assertAllKnow(world, "servers/a", "op/evacuate");
+    }
+
+    @Test
+    void operatorsChangesAreToldAtOnce() {
+        RelayWorld world = settled(HOSTS);
+        world.write("op/evacuate");
+        world.time.advance(300);
+        world.hosts
+                .values()
+                .forEach(host -> assertTrue(host.settings.contains("op/evacuate"), host.name));
+    }
+
+    @Test
+    void hostsWhoseReadersDieReadForThemselvesInTime() {
+        RelayWorld world = settled(HOSTS);
+        world.readers().forEach(reader -> reader.alive = false);
+        world.write("servers/a");
+        world.write("op/evacuate");
+        world.time.advance(BOUND);
+        assertAllKnow(world, "servers/a", "op/evacuate");
+    }
+
+    @Test
+    void hostsWhoseReaderCannotReachTheStoreReadForThemselvesInTime() {
+        RelayWorld world = settled(HOSTS);
+        world.readers().forEach(reader -> world.cutFromStore.add(reader.name));
+        world.write("servers/a");
+        world.write("op/evacuate");
+        world.time.advance(BOUND);
+        assertAllKnow(world, "servers/a", "op/evacuate");
+    }
+
+    @Test
+    void hostsAskAnotherReaderOnceTheirsIsSilent() {
+        RelayWorld world = settled(HOSTS);
+        RelayWorld.Host dead = world.readers().get(0);
+        dead.alive = false;
+        world.time.advance(10_000);
+        int calls = callsIn(world, 5_000);
+        assertTrue(calls <= 5 * 2.4, "calls " + calls);
+    }
+
+    @Test
+    void changesOfAnOutageAreKnownSoonAfterIt() {
+        RelayWorld world = settled(HOSTS);
+        world.storeOut = true;
+        world.time.advance(8_000);
+        world.storeOut = false;
+        world.write("servers/a");
+        world.write("op/evacuate");
+        world.time.advance(BOUND + 1_000);
+        assertAllKnow(world, "servers/a", "op/evacuate");
+        world.time.advance(8_000);
+        int calls = callsIn(world, 10_000);
+        assertTrue(calls <= 2 * 10 * 2.4, "calls " + calls);
+    }
+
+    @Test
+    void changesAreKnownInTimeUnderKillsCutsAndFreezes() {
+        for (int seed = 0; seed < 60; seed++) {
+            playTroubles(seed);
+        }
+    }
+
+    /** Kills, cuts and restores hosts at random, and checks each change after the bound. */
+    private static void playTroubles(int seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        RelayWorld world = settled(3 + random.nextInt(30));
+        List<RelayWorld.Host> hosts = new ArrayList<>(world.hosts.values());
+        for (int round = 0; round < 15; round++) {
+            RelayWorld.Host hit =
+                    random.nextBoolean() && !world.readers().isEmpty()
+                            ? world.readers().get(0)
+                            : hosts.get(random.nextInt(hosts.size()));
+            switch (random.nextInt(4)) {
+                case 0 -> hit.alive = false;
+                case 1 -> world.cutFromHosts.add(hit.name);
+                case 2 -> world.cutFromStore.add(hit.name);
+                default -> {
+                    world.cutFromHosts.clear();
+                    world.cutFromStore.clear();
+                    // A host that was just cut off needs its next attempt before it is in touch.
+                    world.time.advance(3_000);
+                }
+            }
+            world.time.advance(random.nextInt(2_500));
+            String server = "servers/" + seed + "-" + round;
+            String setting = "op/" + seed + "-" + round;
+            world.write(server);
+            world.write(setting);
+            world.time.advance(BOUND);
+            assertAllKnow(world, server, setting);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/siskinramp/relay/HostTableTest.java
@@ -0,0 +1,82 @@
+package org.siskinramp.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import org.siskinramp.follow.Changes;
+
+class HostTableTest {
+
+    private static final long MINUTE = 60_000;
+
+    private final HostTable table = new HostTable();
+
+    private void publish(int hosts, long now) {
+        List<HostChange> changes = new ArrayList<>();
+        for (int number = 0; number < hosts; number++) {
+            changes.add(new HostChange("host-" + number, Optional.of(host(number))));
+        }
+        table.follow(new Changes<>(1, true, changes), now);
+    }
+
+    private static HostEntry host(int number) {
+        return new HostEntry("host-" + number, "zone-" + number % 3, "10.0.0." + number + ":1");
+    }
+
+    private static Set<String> names(List<HostEntry> hosts) {
+        return hosts.stream().map(HostEntry::name).collect(Collectors.toSet());
+    }
+
+    @Test
+    void twoOfAFewHostsReadAndAboutOneInTwentyFourOfMany() {
+        publish(17, 0);
+        assertEquals(2, table.readers(0).size());
+        publish(110, 0);
+        assertEquals(5, table.readers(0).size());
+        publish(300, 0);
+        assertEquals(13, table.readers(0).size());
+    }
+
+    @Test
+    void readersOfTheOwnZoneAreAskedFirstAndNoHostAsksItself() {
+        publish(110, 0);
+        Set<String> readers = names(table.readers(0));
+        Set<String> asked = new HashSet<>();
+        for (int number = 0; number < 110; number++) {
+            HostEntry self = host(number);
+            List<HostEntry> order = table.readersFor(self, 0);
+            assertTrue(names(order).stream().noneMatch(self.name()::equals));
+            boolean near =
+                    order.stream()
+                            .anyMatch(
+                                    one -> one.availabilityZone().equals(self.availabilityZone()));
+            assertTrue(!near || order.get(0).availabilityZone().equals(self.availabilityZone()));
+            asked.add(order.get(0).name());
+        }
+        assertEquals(readers, asked);
+    }
+
+    @Test
+    void hostsThatNoLongerRenewTheirEntryAreNotCounted() {
+        publish(4, 0);
+        table.follow(
+                new Changes<>(2, false, List.of(new HostChange("host-1", Optional.of(host(1))))),
+                12 * MINUTE);
+        assertEquals(4, table.count("host-1", 12 * MINUTE));
+        assertEquals(1, table.count("host-1", 17 * MINUTE));
+    }
+
+    @Test
+    void countsItselfBeforeItsEntryWasRead() {
+        publish(4, 0);
+        assertEquals(5, table.count("host-9", 0));
+        assertEquals(4, table.count("host-3", 0));
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/siskinramp/relay/RelayWorld.java
@@ -0,0 +1,253 @@
+package org.siskinramp.relay;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.siskinramp.fleet.ServerEntry;
+import org.siskinramp.follow.ChangeFollower;
+import org.siskinramp.follow.ChangeSource;
+import org.siskinramp.follow.Changes;
+import org.siskinramp.follow.OperatorChange;
+import org.siskinramp.follow.ServerChange;
+import org.siskinramp.peer.PeerMessage;
+import org.siskinramp.result.ResultCode;
+import org.siskinramp.result.ResultException;
+import org.siskinramp.time.VirtualTime;
+
+/** Plays a store and hosts with relays under virtual time, with cuts, kills and outages. */
+final class RelayWorld {
+
+    static final long SERVER_SPAN = 1_500;
+    static final long OPERATOR_SPAN = 1_500;
+    private static final long CALL_MILLISECONDS = 5;
+    private static final long MESSAGE_MILLISECONDS = 1;
+    private static final long STORE_TIMEOUT = 700;
+
+    final VirtualTime time = new VirtualTime();
+    final Map<String, Host> hosts = new LinkedHashMap<>();
+    final Set<String> cutFromStore = new HashSet<>();
+    final Set<String> cutFromHosts = new HashSet<>();
+    boolean storeOut;
+    int calls;
+    int messages;
+    private final Map<String, Row> rows = new TreeMap<>();
+    private long version = 1;
+
+    RelayWorld(int count) {
+        write("op/config");
+        for (int number = 0; number < count; number++) {
+            String name = "host-" + number;
+            hosts.put(name, new Host(name, "zone-" + number % 3));
+        }
+        hosts.values().forEach(Host::start);
+    }
+
+    /** Writes a row; a server's row tells that it drains from then on. */
+    long write(String key) {
+        version++;
+        rows.put(key, new Row(version, key));
+        return version;
+    }
+
+    Host host(String name) {
+        return hosts.get(name);
+    }
+
+    List<Host> readers() {
+        return hosts.values().stream().filter(host -> host.alive && host.relay.isAsked()).toList();
+    }
+
+    private <T> ChangeSource<T> source(Host host, String table, Function<Row, T> decode) {
+        return new ChangeSource<>() {
+            @Override
+            public CompletableFuture<Changes<T>> readAll() {
+                return call(host, () -> changes(-1));
+            }
+
+            @Override
+            public CompletableFuture<Changes<T>> changesAfter(long after, long wait) {
+                CompletableFuture<Changes<T>> answer = new CompletableFuture<>();
+                poll(answer, after, time.monotonicMilliseconds() + wait);
+                calls++;
+                return answer;
+            }
+
+            private void poll(CompletableFuture<Changes<T>> answer, long after, long end) {
+                if (!reaches(host)) {
+                    time.schedule(
+                            Math.max(0, end - time.monotonicMilliseconds()) + STORE_TIMEOUT,
+                            () -> answer.completeExceptionally(lost()));
+                    return;
+                }
+                Changes<T> changes = changes(after);
+                if (changes.items().isEmpty() && time.monotonicMilliseconds() < end) {
+                    time.schedule(CALL_MILLISECONDS, () -> poll(answer, after, end));
+                } else {
+                    time.schedule(CALL_MILLISECONDS, () -> answer.complete(changes));
+                }
+            }
+
+            private Changes<T> changes(long after) {
+                List<T> items = new ArrayList<>();
+                for (Row row : rows.values()) {
+                    if (row.key.startsWith(table) && row.version > after) {
+                        items.add(decode.apply(row));
+                    }
+                }
+                return new Changes<>(version, after < 0, items);
+            }
+        };
+    }
+
+    private <T> CompletableFuture<T> call(Host host, Supplier<T> result) {
+        calls++;
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        if (reaches(host)) {
+            T read = result.get();
+            time.schedule(CALL_MILLISECONDS, () -> answer.complete(read));
+        } else {
+            time.schedule(STORE_TIMEOUT, () -> answer.completeExceptionally(lost()));
+        }
+        return answer;
+    }
+
+    boolean reaches(Host host) {
+        return !storeOut && !cutFromStore.contains(host.name);
+    }
+
+    private static ResultException lost() {
+        return new ResultException(ResultCode.PLATFORM_UNAVAILABLE, "test");
+    }
+
+    private void deliver(String from, String to, PeerMessage message) {
+        messages++;
+        time.schedule(
+                MESSAGE_MILLISECONDS,
+                () -> {
+                    boolean cut = cutFromHosts.contains(from) || cutFromHosts.contains(to);
+                    Host receiver = hosts.get(to);
+                    if (!cut && receiver.alive) {
+                        receiver.relay.receive(from, message);
+                    }
+                });
+    }
+
+    private record Row(long version, String key) {}
+
+    /** Plays one host; what it knows is the greatest version of what it was told of each table. */
+    final class Host {
+
+        final String name;
+        final HostEntry entry;
+        boolean alive = true;
+        int counted;
+        final Set<String> draining = new HashSet<>();
+        final Set<String> settings = new HashSet<>();
+        FeedRelay relay;
+
+        private Host(String name, String zone) {
+            this.name = name;
+            this.entry = new HostEntry(name, zone, name + ":1");
+        }
+
+        private void start() {
+            relay =
+                    new FeedRelay(
+                            new RelayOptions(SERVER_SPAN, OPERATOR_SPAN),
+                            time,
+                            (delay, task) -> time.schedule(delay, () -> runIfAlive(task)),
+                            event -> {},
+                            count -> counted = count);
+            ChangeFollower<ServerChange> servers =
+                    follower(
+                            "servers/",
+                            row -> ServerBookTest.there(drainingServer(row.key)),
+                            this::serversRead,
+                            () -> relay.isAsked() ? 1_000 : SERVER_SPAN,
+                            () -> 0);
+            ChangeFollower<OperatorChange> operator =
+                    follower(
+                            "op/",
+                            row -> new OperatorChange.Evacuation(row.key, true),
+                            this::operatorRead,
+                            () -> 250,
+                            () -> relay.isAsked() ? 1_000 : 2_200);
+            ChangeFollower<HostChange> table =
+                    follower(
+                            "hosts/",
+                            row -> new HostChange(nameOf(row.key), Optional.of(entryOf(row.key))),
+                            relay::hostsRead,
+                            () -> 10_000,
+                            () -> 0);
+            FeedRelay.Followers followers = new FeedRelay.Followers(servers, operator, table);
+            relay.start(
+                    entry,
+                    published ->
+                            call(
+                                    this,
+                                    () -> {
+                                        write("hosts/" + published.name());
+                                        return null;
+                                    }),
+                    (to, message) -> deliver(name, to, message),
+                    followers);
+            operator.start();
+            servers.start();
+        }
+
+        private <T> ChangeFollower<T> follower(
+                String table,
+                Function<Row, T> decode,
+                Consumer<Changes<T>> listener,
+                LongSupplier interval,
+                LongSupplier wait) {
+            return ChangeFollower.builder(table, source(this, table, decode), listener)
+                    .intervalMilliseconds(interval)
+                    .waitMilliseconds(wait)
+                    .clock(time)
+                    .scheduler((delay, task) -> time.schedule(delay, () -> runIfAlive(task)))
+                    .eventLog(event -> {})
+                    .build();
+        }
+
+        private void runIfAlive(Runnable task) {
+            if (alive) {
+                task.run();
+            }
+        }
+
+        private void serversRead(Changes<ServerChange> changes) {
+            changes.items().forEach(change -> draining.add(change.name()));
+            relay.serversRead(changes);
+        }
+
+        private void operatorRead(Changes<OperatorChange> changes) {
+            for (OperatorChange change : changes.items()) {
+                settings.add(((OperatorChange.Evacuation) change).availabilityZone());
+            }
+            relay.operatorRead(changes);
+        }
+
+        private ServerEntry drainingServer(String key) {
+            return ServerBookTest.entry(key, true, 0, 1);
+        }
+
+        private String nameOf(String key) {
+            return key.substring(key.indexOf('/') + 1);
+        }
+
+        private HostEntry entryOf(String key) {
+            return hosts.get(nameOf(key)).entry;
+        }
+    }
+}
--- a/stand-in/src/main/java/org/siskinramp/standin/upstream/GatewayWorld.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/upstream/GatewayWorld.java
@@ -45,6 +45,8 @@
         metrics_address = "127.0.0.1:0"
         [store]
         address = "http://%s"
+        [peers]
+        address = "127.0.0.1:0"
         [operator_figures]
         grace_s = 6
         retry_ratio = 0.2
--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/ProgramProcess.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/ProgramProcess.java
@@ -76,7 +76,8 @@
         return last;
     }
 
-    private String text() {
+    /** Returns what this start of the program has written. */
+    String text() {
         try {
             byte[] all = Files.readAllBytes(output);
             int start = (int) earlierBytes;
