Drop a list of servers of which a part went missing, and trace the zone that gets no work back

Found on reading the relay again: a whole list of more than 200 servers is told in parts. If the link closed between two parts, the last part alone looked whole, and the servers of the first were taken as gone. Deployments of 200 servers or fewer are not concerned. PeerCodecTest writes and reads the messages of the relay, and refuses a constant that a later version may have added. The choice by the lowest expected time expects a server that rested at the median, and the best of the others is mostly faster.

--- a/daemon/src/test/java/org/siskinramp/daemon/peer/PeerCodecTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/peer/PeerCodecTest.java
@@ -15,10 +15,15 @@
 import java.util.Optional;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.siskinramp.configuration.BackendServer;
+import org.siskinramp.configuration.ServiceState;
+import org.siskinramp.fleet.ServerEntry;
 import org.siskinramp.peer.Acknowledgement;
 import org.siskinramp.peer.AllowanceAsk;
 import org.siskinramp.peer.ColdSighting;
 import org.siskinramp.peer.ConfigurationNotice;
+import org.siskinramp.peer.FeedAsk;
+import org.siskinramp.peer.FeedNews;
 import org.siskinramp.peer.Heartbeat;
 import org.siskinramp.peer.LoanGrant;
 import org.siskinramp.peer.LoanReturn;
@@ -31,6 +36,10 @@
 
 class PeerCodecTest {
 
+    private static final BackendServer SERVER =
+            new BackendServer(
+                    "i-1", "desk", "10.0.0.9", "zone-1", "10.0.0.9:80", 4, 1, ServiceState.IN);
+
     private final PeerCodec codec = new PeerCodec(200);
 
     @Test
@@ -59,6 +68,49 @@
         assertSame(new LoanReturn("dispatch", List.of(new LoanReturn.ReturnedLoan(1, 20))));
         assertSame(new SlotRelease(1, 2, true, List.of(new SlotRelease.ReleasedSlot("d1", 3))));
         assertSame(new ColdSighting("d1", ""));
+        assertSame(new FeedAsk("10.0.0.1:80", -1));
+        assertSame(
+                new FeedNews(
+                        3,
+                        9,
+                        false,
+                        0,
+                        false,
+                        List.of(new ServerEntry(SERVER, true, 0, 1_000, 7)),
+                        List.of("i-2"),
+                        5,
+                        6,
+                        8,
+                        4,
+                        17));
+    }
+
+    @Test
+    void refusesAConstantThatItDoesNotKnow() {
+        FeedNews news =
+                new FeedNews(
+                        3,
+                        9,
+                        false,
+                        0,
+                        false,
+                        List.of(new ServerEntry(SERVER, true, 0, 1_000, 7)),
+                        List.of(),
+                        5,
+                        6,
+                        8,
+                        4,
+                        17);
+        byte[] frame = codec.encode(news).bytes();
+        String changed =
+                HexFormat.of()
+                        .formatHex(frame, PeerCodec.LENGTH_BYTES, frame.length)
+                        .replace("a2494e", "a2494d");
+        ResultException failure =
+                assertThrows(
+                        ResultException.class,
+                        () -> codec.decode(HexFormat.of().parseHex(changed)));
+        assertEquals(ResultCode.FRAME_INVALID, failure.code());
     }
 
     @Test
--- a/library/src/main/java/org/siskinramp/peer/FeedNews.java
+++ b/library/src/main/java/org/siskinramp/peer/FeedNews.java
@@ -9,6 +9,7 @@
  * @param sinceVersion the version after which the changes of the backend servers are told
  * @param version the version up to which they are told
  * @param whole true if the servers are all there are
+ * @param part the place of this message in the list, from 0
  * @param more true if another message with the same versions goes on with the list
  * @param servers entries that are new or changed
  * @param gone names of servers whose entries went
@@ -22,6 +23,7 @@
         long sinceVersion,
         long version,
         boolean whole,
+        int part,
         boolean more,
         List<ServerEntry> servers,
         List<String> gone,
@@ -38,6 +40,7 @@
      * @param sinceVersion the version after which changes are told
      * @param version the version up to which they are told
      * @param whole whether the servers are all there are
+     * @param part the place of this message in the list
      * @param more whether another message goes on with the list
      * @param servers the entries
      * @param gone the names of servers that went
--- a/library/src/main/java/org/siskinramp/relay/FeedRelay.java
+++ b/library/src/main/java/org/siskinramp/relay/FeedRelay.java
@@ -50,7 +50,7 @@
     private final ServerBook book = new ServerBook();
     private final Subscribers subscribers = new Subscribers();
     private final SourceChoice choice = new SourceChoice();
-    private final List<ServerEntry> parts = new ArrayList<>();
+    private final NewsParts parts = new NewsParts();
     private Optional<String> source = Optional.empty();
     private long serversReadAt;
     private long operatorReadAt;
@@ -187,6 +187,7 @@
                             known,
                             book.version(),
                             news.whole(),
+                            messages.size(),
                             to < news.entries().size(),
                             news.entries().subList(from, to),
                             news.gone(),
@@ -225,21 +226,19 @@
     }
 
     private void told(String host, FeedNews news) {
-        List<ServerEntry> entries;
+        Optional<List<ServerEntry>> entries;
         synchronized (this) {
             if (!choice.isSource(host)) {
                 return;
             }
             choice.heard(now());
-            parts.addAll(news.servers());
-            if (news.more()) {
-                return;
-            }
-            entries = new ArrayList<>(parts);
-            parts.clear();
+            entries = parts.add(news);
+        }
+        if (entries.isEmpty()) {
+            return;
         }
         regainedElsewhereAt = now() - news.regainedMilliseconds();
-        if (followers.servers().offer(news.sinceVersion(), changesOf(news, entries))) {
+        if (followers.servers().offer(news.sinceVersion(), changesOf(news, entries.get()))) {
             cover(news);
         } else {
             ask(host);
--- a/library/src/main/java/org/siskinramp/relay/ServerBook.java
+++ b/library/src/main/java/org/siskinramp/relay/ServerBook.java
@@ -94,6 +94,7 @@
         return new News(whole, entries, gone);
     }
 
+    /** Holds entries to tell; if they are whole, servers that are not among them are gone. */
     record News(boolean whole, List<ServerEntry> entries, List<String> gone) {}
 
     private record Line(ServerEntry entry, long changedVersion, long readMilliseconds) {
--- a/library/src/test/java/org/siskinramp/routing/RoutingTest.java
+++ b/library/src/test/java/org/siskinramp/routing/RoutingTest.java
@@ -109,6 +109,21 @@
         assertEquals(runs.size(), answered(runs));
     }
 
+    @Test
+    void serversOfAZoneThatIsBackGetAThirdOfTheirShareAtOnce() {
+        for (int seed = 1; seed <= 10; seed++) {
+            RoutingCell cell = new RoutingCell(3, 6, 4, seed, RoutingOptions.builder().build());
+            load(cell, 50, 3_000, RoutingCell.READ);
+            cell.setAvailabilityZone("zone-2", ServiceState.OUT);
+            load(cell, 50, 7_000, RoutingCell.READ);
+            cell.setAvailabilityZone("zone-2", ServiceState.IN);
+            int before = cell.servers.server("server-2").answers();
+            load(cell, 50, 6_000, RoutingCell.READ);
+            int answers = cell.servers.server("server-2").answers() - before;
+            assertTrue(answers >= 300 / 6 / 3, "seed " + seed + ": answers " + answers);
+        }
+    }
+
     @Test
     void leavingServerGetsNoNewWorkAndRequestsGoElsewhere() {
         RoutingCell cell = cell(3, 6, 4);
