Forget the latency of a server that rested when it answers again

Cause: ClusterTest "an availability zone is taken out and brought back" (2 of 5 runs at load average 20 to 30): the server of the zone got 0 to 2 of about 350 requests in 7 s. What was seen of a server counts less the older it is, but its average kept the old value: the first answer after the rest made that value fresh again, weighing nine tenths, and the server was left alone for seconds more. Ruled out: the permission to send (route and claim lines are there, the requests ran), ejection (no failure), the configuration (in force at all hosts within 5 ms), too cautious an expectation of a server without answers (tried: quantile 0.25 gives 7 and 0.1 gives 10 of 50 requests instead of 5; reverted). Change: an answer after more than the memory time starts the average anew.

--- a/library/src/main/java/org/siskinramp/health/MovingAverage.java
+++ b/library/src/main/java/org/siskinramp/health/MovingAverage.java
@@ -26,6 +26,15 @@
         average += weight * (sample - average);
     }
 
+    /**
+     * Forgets all samples before this one.
+     *
+     * @param sample the sample
+     */
+    public void restart(double sample) {
+        average = sample;
+    }
+
     /**
      * Returns the average.
      *
--- a/library/src/main/java/org/siskinramp/health/ServerHealth.java
+++ b/library/src/main/java/org/siskinramp/health/ServerHealth.java
@@ -37,8 +37,13 @@
      * @param now monotonic milliseconds
      */
     public void recordSuccess(long latencyMilliseconds, long now) {
+        if (now - sampledAt > MEMORY_MILLISECONDS) {
+            // One answer would otherwise bring back what was seen before the rest.
+            latency.restart((double) latencyMilliseconds);
+        } else {
+            latency.add((double) latencyMilliseconds);
+        }
         sampledAt = now;
-        latency.add((double) latencyMilliseconds);
         successRate.add(1.0);
         failuresInARow = 0;
         trialPending = false;
