Tell by the logs of gateways what became of a request

Change: `request trace ID [FILE...]` reads logs, or standard input, prints the request's lines and what they prove: ran once, ran, not run, or unknown. Lines may be left out under load: an attempt whose end is not logged counts as one that may have run. Tests: RequestTraceTest; RequestTraceCommandTest replays the examples of docs/OPERATIONS.md by the page's own command and finds what it tells.

--- a/daemon/src/main/java/org/siskinramp/daemon/commandline/CommandTree.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/commandline/CommandTree.java
@@ -37,7 +37,11 @@
                                         new Leaf(
                                                 "show",
                                                 "tell what became of a request",
-                                                RequestShowCommand::new))),
+                                                RequestShowCommand::new),
+                                        new Leaf(
+                                                "trace",
+                                                "tell by logs of gateways what became of a request",
+                                                RequestTraceCommand::new))),
                         new Leaf("status", "describe an entry host", StatusCommand::new)));
     }
 
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/trace/LogLine.java
@@ -0,0 +1,56 @@
+package org.siskinramp.trace;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Holds the fields of one log line; what stands before them, such as a time, is kept in its text.
+ */
+final class LogLine {
+
+    private static final Pattern FIELD =
+            Pattern.compile("(?<![^ ])([a-z_0-9]+)=(?:\"((?:[^\"\\\\]|\\\\.)*)\"|([^ ]*))");
+
+    private final String text;
+    private final Map<String, String> fields;
+
+    private LogLine(String text, Map<String, String> fields) {
+        this.text = text;
+        this.fields = fields;
+    }
+
+    static LogLine parse(String text) {
+        Map<String, String> fields = new HashMap<>();
+        Matcher matcher = FIELD.matcher(text);
+        while (matcher.find()) {
+            String quoted = matcher.group(2);
+            String value = quoted == null ? matcher.group(3) : quoted.replaceAll("\\\\(.)", "$1");
+            fields.putIfAbsent(matcher.group(1), value);
+        }
+        return new LogLine(text.strip(), fields);
+    }
+
+    String text() {
+        return text;
+    }
+
+    boolean is(String event) {
+        return event.equals(fields.get("event"));
+    }
+
+    String value(String key) {
+        return fields.getOrDefault(key, "");
+    }
+
+    /** Returns a whole number, or empty if the field is missing or no number. */
+    Optional<Integer> number(String key) {
+        try {
+            return Optional.of(Integer.valueOf(value(key)));
+        } catch (NumberFormatException malformed) {
+            return Optional.empty();
+        }
+    }
+}
