--- a/daemon/src/main/java/org/siskinramp/daemon/settings/GatewaySettingsReader.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/GatewaySettingsReader.java
@@ -2,7 +2,6 @@
 
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import org.tomlj.TomlParseResult;
 
@@ -49,11 +48,7 @@
         host.close();
         log.close();
         SettingsSection.unknownSections(parsed, SECTIONS).forEach(faults::add);
-        if (faults.isEmpty()) {
-            return SettingsReport.valid(file, settings);
-        }
-        faults.sort(Comparator.comparingInt(SettingsFault::line));
-        return SettingsReport.invalid(file, faults);
+        return SettingsReport.of(file, settings, faults);
     }
 
     private GatewaySettings.Callers readCallers() {
--- a/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsReport.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsReport.java
@@ -1,6 +1,8 @@
 package org.siskinramp.daemon.settings;
 
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
 import java.util.stream.Collectors;
@@ -24,12 +26,20 @@
         this.faults = List.copyOf(faults);
     }
 
-    static <S> SettingsReport<S> valid(Path file, S settings) {
-        return new SettingsReport<>(file, Objects.requireNonNull(settings, "settings"), List.of());
+    /**
+     * Reports the settings if no faults were found, or else the faults in the order of the file.
+     */
+    static <S> SettingsReport<S> of(Path file, S settings, List<SettingsFault> faults) {
+        return faults.isEmpty()
+                ? new SettingsReport<>(file, Objects.requireNonNull(settings, "settings"), faults)
+                : invalid(file, faults);
     }
 
+    /** Reports faults, one at least. */
     static <S> SettingsReport<S> invalid(Path file, List<SettingsFault> faults) {
-        return new SettingsReport<>(file, null, faults);
+        List<SettingsFault> sorted = new ArrayList<>(faults);
+        sorted.sort(Comparator.comparingInt(SettingsFault::line));
+        return new SettingsReport<>(file, null, sorted);
     }
 
     /**
--- a/library/src/main/java/org/siskinramp/attempt/AttemptFailure.java
+++ b/library/src/main/java/org/siskinramp/attempt/AttemptFailure.java
@@ -1,5 +1,9 @@
 package org.siskinramp.attempt;
 
+import java.util.Locale;
+import java.util.Optional;
+import java.util.stream.Stream;
+
 /** Says why an attempt ended without a whole answer. */
 public enum AttemptFailure {
     /** The permission had lapsed, so nothing was sent. */
@@ -35,6 +39,25 @@
         this.notRun = notRun;
     }
 
+    /**
+     * Finds a failure by its word.
+     *
+     * @param word the word, as a log line holds it
+     * @return the failure, or empty if this version has none of that word
+     */
+    public static Optional<AttemptFailure> ofWord(String word) {
+        return Stream.of(values()).filter(failure -> failure.word().equals(word)).findFirst();
+    }
+
+    /**
+     * Returns the word that log lines use.
+     *
+     * @return the name in lower case
+     */
+    public String word() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
     /**
      * Tells whether the request certainly did not run.
      *
--- a/library/src/main/java/org/siskinramp/fleet/Fleet.java
+++ b/library/src/main/java/org/siskinramp/fleet/Fleet.java
@@ -134,6 +134,18 @@
         return List.copyOf(servers.values());
     }
 
+    /**
+     * Tells whether any server of a service may get new requests.
+     *
+     * @param service the service
+     * @param now monotonic milliseconds
+     * @return false if the service has none
+     */
+    public boolean hasUsable(String service, long now) {
+        return byService.getOrDefault(service, List.of()).stream()
+                .anyMatch(server -> isUsable(server, now));
+    }
+
     /**
      * Returns the servers of a service that may get new requests.
      *
--- a/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
+++ b/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
@@ -1,7 +1,6 @@
 package org.siskinramp.gateway;
 
 import java.util.HashMap;
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 import org.siskinramp.attempt.Attempt;
@@ -127,7 +126,7 @@
             attempt.server().fail(now);
         }
         attempt.run().endAttempt(attempt.number(), kind.isArrival(), !kind.isNotRun());
-        logEnd(attempt, kind.name().toLowerCase(Locale.ROOT), now);
+        logEnd(attempt, kind.word(), now);
         listener.ended(attempt, null, AttemptVerdict.ofFailure(kind, idempotent), effects);
     }
 
--- a/library/src/main/java/org/siskinramp/gateway/Gateway.java
+++ b/library/src/main/java/org/siskinramp/gateway/Gateway.java
@@ -317,14 +317,7 @@
     }
 
     private void locked(Consumer<Effects> command) {
-        Effects effects = new Effects();
-        lock.lock();
-        try {
-            command.accept(effects);
-        } finally {
-            lock.unlock();
-        }
-        effects.run();
+        Effects.runLocked(lock, command);
     }
 
     private void record(LogEvent event) {
--- a/library/src/main/java/org/siskinramp/gateway/GatewayOptions.java
+++ b/library/src/main/java/org/siskinramp/gateway/GatewayOptions.java
@@ -14,7 +14,6 @@
     private final double retryShare;
     private final int retrySlack;
     private final long retryWindowMilliseconds;
-    private final double coldOverage;
 
     private GatewayOptions(Builder builder) {
         candidates = builder.candidates;
@@ -22,7 +21,6 @@
         retryShare = builder.retryShare;
         retrySlack = builder.retrySlack;
         retryWindowMilliseconds = builder.retryWindowMilliseconds;
-        coldOverage = builder.coldOverage;
     }
 
     /**
@@ -54,10 +52,6 @@
         return retryWindowMilliseconds;
     }
 
-    double coldOverage() {
-        return coldOverage;
-    }
-
     /** Collects the options. */
     public static final class Builder {
 
@@ -69,7 +63,6 @@
         private double retryShare = 0.1;
         private int retrySlack = 20;
         private long retryWindowMilliseconds = 10_000;
-        private double coldOverage = 1;
 
         private Builder() {}
 
@@ -129,17 +122,6 @@
             return this;
         }
 
-        /**
-         * Sets how much of the rate that a cold server bears all hosts together may use.
-         *
-         * @param value a share, 1 for all of it
-         * @return this builder
-         */
-        public Builder coldOverage(double value) {
-            coldOverage = value;
-            return this;
-        }
-
         /**
          * Builds the options.
          *
--- a/library/src/main/java/org/siskinramp/gateway/SearchDesk.java
+++ b/library/src/main/java/org/siskinramp/gateway/SearchDesk.java
@@ -75,7 +75,7 @@
     private final GatewayEnvironment environment;
     private final GatewayOptions options;
     private final Locked locked;
-    private final TokenBucket probeBudget;
+    private final TokenBucket probeBudget = new TokenBucket(PROBES_KEPT);
     private int searches;
 
     SearchDesk(
@@ -87,12 +87,11 @@
         this.environment = environment;
         this.options = options;
         this.locked = locked;
-        probeBudget = new TokenBucket(PROBES_KEPT, now());
     }
 
     /** Lets a new request pay for its probes, so that no host has to know how many others probe. */
     void countRequest() {
-        probeBudget.give(PROBES_PER_REQUEST, PROBES_KEPT);
+        probeBudget.give(PROBES_PER_REQUEST);
     }
 
     /** Starts searches for waiting requests that have none. */
--- a/library/src/main/java/org/siskinramp/gateway/ServerScope.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServerScope.java
@@ -39,7 +39,7 @@
     }
 
     boolean isEmpty(long now) {
-        return fleet.usable(service, now).isEmpty();
+        return !fleet.hasUsable(service, now);
     }
 
     /** Tells whether a server that just answered may get another request at once. */
@@ -92,7 +92,7 @@
     }
 
     private boolean isInTurn(KnownServer server, long now) {
-        double perSecond = coldRate.perSecond() * options.coldOverage();
+        double perSecond = coldRate.perSecond();
         return perSecond > 0 && turns(server).isOpen(perSecond, coldRate.hosts(), now);
     }
 
--- a/library/src/main/java/org/siskinramp/gateway/ServicePool.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServicePool.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.siskinramp.attempt.AttemptAnswer;
 import org.siskinramp.fleet.Fleet;
@@ -103,7 +104,7 @@
         pump(effects);
     }
 
-    private void schedule(long delay, java.util.function.Consumer<Effects> command) {
+    private void schedule(long delay, Consumer<Effects> command) {
         environment.scheduler().schedule(Math.max(0, delay), () -> locked.run(command));
     }
 
--- a/library/src/main/java/org/siskinramp/relay/ServerBook.java
+++ b/library/src/main/java/org/siskinramp/relay/ServerBook.java
@@ -34,11 +34,11 @@
     }
 
     void follow(Changes<ServerChange> changes, long now) {
+        version = changes.version();
+        firstVersion = Math.min(firstVersion, version);
         if (changes.whole()) {
             removeMissing(changes);
         }
-        version = changes.version();
-        firstVersion = Math.min(firstVersion, version);
         for (ServerChange change : changes.items()) {
             change.entry()
                     .ifPresentOrElse(entry -> put(entry, now), () -> removeOne(change.name()));
@@ -50,7 +50,6 @@
         for (ServerChange change : changes.items()) {
             missing.remove(change.name());
         }
-        version = changes.version();
         missing.forEach(this::removeOne);
     }
 
--- a/library/src/main/java/org/siskinramp/routing/Dispatcher.java
+++ b/library/src/main/java/org/siskinramp/routing/Dispatcher.java
@@ -1,7 +1,6 @@
 package org.siskinramp.routing;
 
 import java.util.HashMap;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -354,7 +353,7 @@
                 attemptNumber,
                 new AttemptRecord(
                         attempt.server().backendServer().name(),
-                        failure.failure().name().toLowerCase(Locale.ROOT),
+                        failure.failure().word(),
                         !failure.failure().isNotRun()));
         if (run.isEnded() || !run.attemptsInProgress().isEmpty()) {
             return;
--- a/library/src/main/java/org/siskinramp/routing/ServiceRouter.java
+++ b/library/src/main/java/org/siskinramp/routing/ServiceRouter.java
@@ -345,14 +345,7 @@
     }
 
     private void locked(Consumer<Effects> command) {
-        Effects effects = new Effects();
-        lock.lock();
-        try {
-            command.accept(effects);
-        } finally {
-            lock.unlock();
-        }
-        effects.run();
+        Effects.runLocked(lock, command);
     }
 
     private final class Listener implements Dispatcher.AttemptListener {
--- a/library/src/main/java/org/siskinramp/trace/RequestTrace.java
+++ b/library/src/main/java/org/siskinramp/trace/RequestTrace.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Objects;
 import java.util.Optional;
 import org.siskinramp.attempt.AttemptFailure;
@@ -21,8 +20,6 @@
  */
 public final class RequestTrace {
 
-    private static final String ANSWERED = "answered_";
-
     private final String requestId;
     private final List<LogLine> lines = new ArrayList<>();
     private int leftOutNotices;
@@ -91,16 +88,9 @@
         return Math.max(sent, known) - proven;
     }
 
+    /** An answer of the server, and a failure that this version does not know, prove nothing. */
     private static boolean isNotRun(String outcome) {
-        if (outcome.startsWith(ANSWERED)) {
-            return false;
-        }
-        for (AttemptFailure failure : AttemptFailure.values()) {
-            if (failure.name().toLowerCase(Locale.ROOT).equals(outcome)) {
-                return failure.isNotRun();
-            }
-        }
-        return false;
+        return AttemptFailure.ofWord(outcome).filter(AttemptFailure::isNotRun).isPresent();
     }
 
     /**
--- a/library/src/test/java/org/siskinramp/relay/FeedRelayTest.java
+++ b/library/src/test/java/org/siskinramp/relay/FeedRelayTest.java
@@ -39,6 +39,13 @@
         }
     }
 
+    private static void assertChangesAreKnownWithin(long milliseconds, RelayWorld world) {
+        world.write("servers/a");
+        world.write("op/evacuate");
+        world.time.advance(milliseconds);
+        assertAllKnow(world, "servers/a", "op/evacuate");
+    }
+
     @Test
     void twoHostsReadForAllOnesThatStartTogether() {
         RelayWorld world = settled(HOSTS);
@@ -77,10 +84,7 @@
     @Test
     void changesReachAllHostsSoonerThanTheBound() {
         RelayWorld world = settled(HOSTS);
-        world.write("servers/a");
-        world.write("op/evacuate");
-        world.time.advance(1_100);
-        assertAllKnow(world, "servers/a", "op/evacuate");
+        assertChangesAreKnownWithin(1_100, world);
     }
 
     @Test
@@ -97,20 +101,14 @@
     void hostsWhoseReadersDieReadForThemselvesInTime() {
         RelayWorld world = settled(HOSTS);
         world.readers().forEach(reader -> reader.alive = false);
-        world.write("servers/a");
-        world.write("op/evacuate");
-        world.time.advance(BOUND);
-        assertAllKnow(world, "servers/a", "op/evacuate");
+        assertChangesAreKnownWithin(BOUND, world);
     }
 
     @Test
     void hostsWhoseReaderCannotReachTheStoreReadForThemselvesInTime() {
         RelayWorld world = settled(HOSTS);
         world.readers().forEach(reader -> world.cutFromStore.add(reader.name));
-        world.write("servers/a");
-        world.write("op/evacuate");
-        world.time.advance(BOUND);
-        assertAllKnow(world, "servers/a", "op/evacuate");
+        assertChangesAreKnownWithin(BOUND, world);
     }
 
     @Test
@@ -129,10 +127,7 @@
         world.storeOut = true;
         world.time.advance(8_000);
         world.storeOut = false;
-        world.write("servers/a");
-        world.write("op/evacuate");
-        world.time.advance(BOUND + 1_000);
-        assertAllKnow(world, "servers/a", "op/evacuate");
+        assertChangesAreKnownWithin(BOUND + 1_000, world);
         world.time.advance(8_000);
         int calls = callsIn(world, 10_000);
         assertTrue(calls <= 2 * 10 * 2.4, "calls " + calls);
