Give a server that warms up its even share of the requests

A server that is back is cold: only the host that holds its first slot may send to it, and its other slots open after answers. That host chose by the lowest expected time; the server that is back is expected at the median, one millisecond more in another zone, so a nearer one that is as fast got all requests and the cold one never warmed up. Ruled out: closing by failed probes (no such line), configuration (in force at all hosts), ejection (no failure). Change: a server that warms up is taken with the probability of an even choice, whatever it is expected to take.

--- a/library/src/main/java/org/siskinramp/routing/ServerChoice.java
+++ b/library/src/main/java/org/siskinramp/routing/ServerChoice.java
@@ -25,16 +25,22 @@
 
     /**
      * Returns the choice of the lowest expected time, which prefers this host's availability zone
-     * while it is not slower.
+     * while it is not slower. A server that warms up gets its even share of the requests instead:
+     * it bears more only after some answers, and would get none while others are expected to be
+     * faster.
      *
      * @return the choice
      */
     static ServerChoice lowestScore() {
-        return (candidates, random) ->
-                indexOfLowest(
-                        candidates,
-                        random,
-                        Comparator.comparingDouble(ServerChoice::scoreWithDistance));
+        return (candidates, random) -> {
+            int drawn = random.nextInt(candidates.size());
+            return candidates.get(drawn).warmingUp()
+                    ? drawn
+                    : indexOfLowest(
+                            candidates,
+                            random,
+                            Comparator.comparingDouble(ServerChoice::scoreWithDistance));
+        };
     }
 
     /**
--- a/library/src/main/java/org/siskinramp/routing/ServerState.java
+++ b/library/src/main/java/org/siskinramp/routing/ServerState.java
@@ -193,6 +193,7 @@
     ServerCandidate candidate(String availabilityZone, long now, double typicalMilliseconds) {
         return new ServerCandidate(
                 backendServer.name(),
+                !warmth.isWarm(),
                 backendServer.availabilityZone().equals(availabilityZone),
                 health.score(now, typicalMilliseconds),
                 requestsInProgress,
--- a/library/src/test/java/org/siskinramp/routing/RoutingCell.java
+++ b/library/src/test/java/org/siskinramp/routing/RoutingCell.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.ToLongFunction;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.siskinramp.configuration.BackendServer;
@@ -52,10 +53,25 @@
     private int nextRequest = 1;
 
     RoutingCell(int hostCount, int serverCount, int slots, long seed, RoutingOptions options) {
+        this(
+                hostCount,
+                serverCount,
+                slots,
+                seed,
+                options,
+                random -> Math.round(-20 * Math.log(1 - random.nextDouble())) + 1);
+    }
+
+    /** Lets the test choose how long the work of a request takes, in milliseconds. */
+    RoutingCell(
+            int hostCount,
+            int serverCount,
+            int slots,
+            long seed,
+            RoutingOptions options,
+            ToLongFunction<UniformRandomProvider> work) {
         random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
-        servers =
-                new FakeServers(
-                        time, () -> Math.round(-20 * Math.log(1 - random.nextDouble())) + 1);
+        servers = new FakeServers(time, () -> work.applyAsLong(random));
         Configuration.Builder builder = Configuration.empty().toBuilder(1);
         builder.service(
                 new Service(
--- a/library/src/test/java/org/siskinramp/routing/RoutingTest.java
+++ b/library/src/test/java/org/siskinramp/routing/RoutingTest.java
@@ -5,8 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.siskinramp.configuration.BackendServer;
 import org.siskinramp.configuration.ServiceState;
 import org.siskinramp.ledger.SuspectRequests;
 import org.siskinramp.request.RequestKind;
@@ -109,18 +112,51 @@
         assertEquals(runs.size(), answered(runs));
     }
 
+    /**
+     * Sends 50 requests a second, and counts those of each server of a zone in 6 s after its
+     * return.
+     */
+    private static Map<String, Integer> answersOfAZoneThatIsBack(RoutingCell cell) {
+        load(cell, 50, 3_000, RoutingCell.READ);
+        cell.setAvailabilityZone("zone-2", ServiceState.OUT);
+        load(cell, 50, 7_000, RoutingCell.READ);
+        cell.setAvailabilityZone("zone-2", ServiceState.IN);
+        Map<String, Integer> answers = new HashMap<>();
+        cell.configuration.backendServersOf("portal").stream()
+                .filter(server -> server.availabilityZone().equals("zone-2"))
+                .map(BackendServer::name)
+                .forEach(name -> answers.put(name, -cell.servers.server(name).answers()));
+        load(cell, 50, 6_000, RoutingCell.READ);
+        answers.replaceAll((name, before) -> before + cell.servers.server(name).answers());
+        return answers;
+    }
+
     @Test
     void serversOfAZoneThatIsBackGetAThirdOfTheirShareAtOnce() {
         for (int seed = 1; seed <= 10; seed++) {
             RoutingCell cell = new RoutingCell(3, 6, 4, seed, RoutingOptions.builder().build());
-            load(cell, 50, 3_000, RoutingCell.READ);
-            cell.setAvailabilityZone("zone-2", ServiceState.OUT);
-            load(cell, 50, 7_000, RoutingCell.READ);
-            cell.setAvailabilityZone("zone-2", ServiceState.IN);
-            int before = cell.servers.server("server-2").answers();
-            load(cell, 50, 6_000, RoutingCell.READ);
-            int answers = cell.servers.server("server-2").answers() - before;
-            assertTrue(answers >= 300 / 6 / 3, "seed " + seed + ": answers " + answers);
+            Map<String, Integer> answers = answersOfAZoneThatIsBack(cell);
+            assertEquals(2, answers.size());
+            for (int count : answers.values()) {
+                assertTrue(count >= 300 / 6 / 3, "seed " + seed + ": answers " + answers);
+            }
+        }
+    }
+
+    /**
+     * Only the host that holds its first slot may send to the server that is back. It has nearer
+     * servers that are free and as fast, and should give half of an even share of its requests.
+     */
+    @Test
+    void serverThatIsBackIsTriedThoughNearerOnesAreFree() {
+        for (int seed = 1; seed <= 10; seed++) {
+            RoutingCell cell =
+                    new RoutingCell(4, 3, 4, seed, RoutingOptions.builder().build(), random -> 20);
+            Map<String, Integer> answers = answersOfAZoneThatIsBack(cell);
+            assertEquals(1, answers.size());
+            for (int count : answers.values()) {
+                assertTrue(count >= 300 / 4 / 3 / 2, "seed " + seed + ": answers " + answers);
+            }
         }
     }
 
