Let readers tell what operators set, and make fewer calls at a start

Change: readers tell routes (up to 40, about 6 kB) and evacuations; more routes are announced as before. A host takes a whole table from a reader before its first own read, never one older than it knew. At the first start of all hosts only readers read servers and operator's table; a host that starts again reads at once and does not write a row that is there. Above 24 hosts each availability zone has its own readers, one for 48 hosts. While the store fails, no call waits for changes, so that its return is noticed within a second. Found on the way and mended: what a host was told counted as read when it came, not when its reader read it; an own answer that came after newer news took the table back. Tests: FeedRelayTest (storm, first start, start again), ChangeFollowerTest, HostTableTest, PeerCodecTest. ChangeFollowerTest takesNothingFromAPeerBeforeItsFirstOwnRead asked for what was changed on purpose; its successor is as strict about parts of a table. HostTableTest and FeedRelayTest count readers by the new rule, exactly.

--- a/daemon/src/main/java/org/siskinramp/daemon/peer/MessageTypes.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/peer/MessageTypes.java
@@ -15,6 +15,7 @@
 import org.siskinramp.peer.LoanAsk;
 import org.siskinramp.peer.LoanGrant;
 import org.siskinramp.peer.LoanReturn;
+import org.siskinramp.peer.OperatorNews;
 import org.siskinramp.peer.PeerMessage;
 import org.siskinramp.peer.SlotRelease;
 import org.siskinramp.peer.SuspectRequest;
@@ -38,6 +39,7 @@
                     Map.entry(ConfigurationAsk.class, 12),
                     Map.entry(FeedAsk.class, 13),
                     Map.entry(FeedNews.class, 14),
+                    Map.entry(OperatorNews.class, 15),
                     Map.entry(Hello.class, 100),
                     Map.entry(Receipt.class, 101));
 
--- a/daemon/src/main/java/org/siskinramp/daemon/settings/GatewaySettings.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/GatewaySettings.java
@@ -88,8 +88,9 @@
      * Describes the side that other hosts reach.
      *
      * @param address where it listens
+     * @param firstStart whether all hosts of the deployment start now for the first time
      */
-    public record Peers(InetSocketAddress address) {}
+    public record Peers(InetSocketAddress address, boolean firstStart) {}
 
     /**
      * Describes how requests are placed.
--- a/daemon/src/main/java/org/siskinramp/daemon/settings/GatewaySettingsReader.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/GatewaySettingsReader.java
@@ -90,7 +90,9 @@
 
     private GatewaySettings.Peers readPeers() {
         SettingsSection section = section("peers");
-        GatewaySettings.Peers peers = new GatewaySettings.Peers(section.address("address"));
+        GatewaySettings.Peers peers =
+                new GatewaySettings.Peers(
+                        section.address("address"), section.flag("first_start", false));
         section.close();
         return peers;
     }
--- a/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsSection.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsSection.java
@@ -108,6 +108,17 @@
         return number.intValue();
     }
 
+    boolean flag(String key, boolean standard) {
+        Object value = value(key);
+        if (value instanceof Boolean flag) {
+            return flag;
+        }
+        if (value != null) {
+            addFault(key, "has the wrong type", "true or false");
+        }
+        return standard;
+    }
+
     /** Reads all keys of this section as figures, whatever their names; truth counts as one. */
     Map<String, Double> figures() {
         Map<String, Double> figures = new TreeMap<>();
--- a/daemon/src/test/java/org/siskinramp/daemon/peer/PeerCodecTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/peer/PeerCodecTest.java
@@ -27,12 +27,17 @@
 import org.siskinramp.peer.Heartbeat;
 import org.siskinramp.peer.LoanGrant;
 import org.siskinramp.peer.LoanReturn;
+import org.siskinramp.peer.OperatorNews;
 import org.siskinramp.peer.PeerMessage;
+import org.siskinramp.peer.RouteLine;
 import org.siskinramp.peer.ServerAllowance;
 import org.siskinramp.peer.ServiceSpare;
 import org.siskinramp.peer.SlotRelease;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.result.ResultException;
+import org.siskinramp.route.CallerLimits;
+import org.siskinramp.route.RoutedService;
+import org.siskinramp.route.ServiceShare;
 
 class PeerCodecTest {
 
@@ -83,6 +88,25 @@
                         8,
                         4,
                         17));
+        assertSame(
+                new OperatorNews(
+                        9,
+                        30,
+                        5,
+                        List.of(
+                                new RouteLine(
+                                        "r",
+                                        "h",
+                                        "/a/",
+                                        true,
+                                        2_000,
+                                        600,
+                                        1,
+                                        3,
+                                        List.of(new ServiceShare("desk", 2)))),
+                        List.of(new RoutedService("desk", "/health", 260, 1.5)),
+                        new CallerLimits(1, 2, 3, 4),
+                        List.of("zone-1")));
     }
 
     @Test
--- a/library/src/main/java/org/siskinramp/follow/ChangeFollower.java
+++ b/library/src/main/java/org/siskinramp/follow/ChangeFollower.java
@@ -42,11 +42,13 @@
     private final Scheduler scheduler;
     private final EventLog eventLog;
     private long version = UNKNOWN;
+    private long newestVersion = UNKNOWN;
     private long askedAt;
     private volatile int failures;
     private volatile long regainedAt = Long.MIN_VALUE / 2;
+    private volatile long readAt = Long.MIN_VALUE / 2;
     private long coveredUntil = Long.MIN_VALUE / 2;
-    private boolean wanted = true;
+    private boolean wanted;
     private boolean asking;
     private long newestTurn;
     private volatile boolean synced;
@@ -93,9 +95,9 @@
     }
 
     /**
-     * Tells whether the table was read since the start.
+     * Tells whether the table is known since the start.
      *
-     * @return true after the first whole read
+     * @return true after the first whole read, by this host or by one that told it
      */
     public boolean isSynced() {
         return synced;
@@ -119,6 +121,14 @@
         coveredUntil = Math.max(coveredUntil, milliseconds);
     }
 
+    /** Reads at once and goes on reading, since no peer tells what it reads any more. */
+    public void endCover() {
+        synchronized (this) {
+            coveredUntil = Long.MIN_VALUE / 2;
+        }
+        readNow();
+    }
+
     /**
      * Tells whether a peer's reads stand in for own ones now.
      *
@@ -138,25 +148,48 @@
     }
 
     /**
-     * Takes what a peer read of the table.
+     * Returns how long ago the table was read, by this host or by one that told it.
+     *
+     * @return milliseconds, a long time before the first read
+     */
+    public long ageMilliseconds() {
+        return clock.monotonicMilliseconds() - readAt;
+    }
+
+    /**
+     * Takes what a peer read of the table. What is older than what was known here is passed over,
+     * also after the store has dropped the changes in between.
      *
      * @param sinceVersion the version after which the changes are told, if they are not all
      * @param changes what the peer read
+     * @param ageMilliseconds how long ago it was read
      * @return false if changes before them are missing here
      */
-    public synchronized boolean offer(long sinceVersion, Changes<T> changes) {
-        if (stopped || version == UNKNOWN) {
+    public synchronized boolean offer(long sinceVersion, Changes<T> changes, long ageMilliseconds) {
+        if (stopped) {
             return false;
         }
-        if (changes.version() <= version) {
+        long offeredReadAt = clock.monotonicMilliseconds() - ageMilliseconds;
+        if (version != UNKNOWN && changes.version() <= version) {
+            if (changes.version() == version) {
+                readAt = Math.max(readAt, offeredReadAt);
+            }
             return true;
         }
-        if (!changes.whole() && sinceVersion > version) {
+        boolean continues = version != UNKNOWN && sinceVersion <= version;
+        if (changes.version() < newestVersion || !(changes.whole() || continues)) {
             return false;
         }
+        follow(changes, offeredReadAt);
+        return true;
+    }
+
+    private void follow(Changes<T> changes, long changesReadAt) {
+        readAt = changesReadAt;
         version = changes.version();
+        newestVersion = Math.max(newestVersion, version);
         listener.accept(changes);
-        return true;
+        synced = true;
     }
 
     /** Reads the changes soon, though the table is covered. */
@@ -182,6 +215,7 @@
     private void ask(long turn) {
         long from;
         long covered;
+        long wait;
         synchronized (this) {
             if (stopped || asking || turn != newestTurn) {
                 return;
@@ -192,15 +226,15 @@
             wanted &= !asking;
             askedAt = now;
             from = version;
+            // While the store fails, a call that waits would notice its return late.
+            wait = failures > 0 ? 0 : waitMilliseconds.getAsLong();
         }
         if (covered > 0) {
             schedule(covered);
             return;
         }
         CompletableFuture<Changes<T>> answer =
-                from == UNKNOWN
-                        ? source.readAll()
-                        : source.changesAfter(from, waitMilliseconds.getAsLong());
+                from == UNKNOWN ? source.readAll() : source.changesAfter(from, wait);
         Futures.whenDone(
                 answer,
                 (changes, failure) -> {
@@ -220,9 +254,10 @@
                 logReturn(changes);
                 long next = askedAt + intervalMilliseconds.getAsLong();
                 pause = wanted ? 0 : Math.max(0, next - clock.monotonicMilliseconds());
-                version = changes.version();
-                listener.accept(changes);
-                synced = true;
+                if (changes.version() >= version) {
+                    // A peer may have told more while the answer was on its way.
+                    follow(changes, clock.monotonicMilliseconds());
+                }
             }
         } finally {
             schedule(pause);
--- a/library/src/main/java/org/siskinramp/relay/FeedRelay.java
+++ b/library/src/main/java/org/siskinramp/relay/FeedRelay.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.IntConsumer;
 import org.siskinramp.fleet.ServerEntry;
 import org.siskinramp.follow.ChangeFollower;
@@ -14,6 +15,7 @@
 import org.siskinramp.log.LogEvent;
 import org.siskinramp.peer.FeedAsk;
 import org.siskinramp.peer.FeedNews;
+import org.siskinramp.peer.OperatorNews;
 import org.siskinramp.peer.PeerMessage;
 import org.siskinramp.peer.PeerSender;
 import org.siskinramp.time.Clock;
@@ -32,8 +34,11 @@
     /** How often a host repeats that it wants to be told. */
     private static final long ASK_MILLISECONDS = 1_000;
 
-    /** Hosts that start together have published themselves by then. */
-    private static final long FIRST_LOOK_MILLISECONDS = 1_500;
+    /** Hosts that start for the first time together have published themselves by then. */
+    private static final long FIRST_LOOK_MILLISECONDS = 2_500;
+
+    /** Covers the read of a reader and its message; after it a host reads for itself. */
+    private static final long FIRST_NEWS_MILLISECONDS = 700;
 
     /** The hosts are read again only if no reader tells how many there are. */
     private static final long HOSTS_SPAN_MILLISECONDS = 30_000;
@@ -48,13 +53,13 @@
     private final IntConsumer hostCount;
     private final HostTable table = new HostTable();
     private final ServerBook book = new ServerBook();
+    private final OperatorBook operatorBook = new OperatorBook();
     private final Subscribers subscribers = new Subscribers();
     private final SourceChoice choice = new SourceChoice();
     private final NewsParts parts = new NewsParts();
     private Optional<String> source = Optional.empty();
-    private long serversReadAt;
-    private long operatorReadAt;
-    private long operatorVersion;
+    private final AtomicBoolean published = new AtomicBoolean();
+    private volatile HostPublisher publisher;
     private volatile HostEntry self;
     private volatile PeerSender sender;
     private volatile Followers followers;
@@ -84,8 +89,8 @@
     }
 
     /**
-     * Publishes this host, and asks and tells others from then on. The followers of the servers and
-     * the operator are started by their owner.
+     * Looks for other hosts, publishes this one, and asks and tells others from then on. The
+     * followers of the servers and the operator are started by their owner.
      *
      * @param entry this host
      * @param registry where it is published
@@ -97,13 +102,25 @@
         self = Objects.requireNonNull(entry, "entry");
         sender = Objects.requireNonNull(peers, "peers");
         followers = Objects.requireNonNull(followed, "followed");
-        new HostPublisher(registry, entry, scheduler, eventLog).publish();
-        scheduler.schedule(
-                FIRST_LOOK_MILLISECONDS,
-                () -> {
-                    followed.hosts().start();
-                    scheduler.schedule(ASK_MILLISECONDS, this::tick);
-                });
+        publisher = new HostPublisher(registry, entry, scheduler, eventLog);
+        if (options.firstStart()) {
+            startWithAll();
+        } else {
+            followed.hosts().start();
+        }
+        scheduler.schedule(ASK_MILLISECONDS, this::tick);
+    }
+
+    /**
+     * Lets the readers read first: no caller is there yet, and each call to the store is priced.
+     */
+    private void startWithAll() {
+        published.set(true);
+        publisher.publish();
+        long firstNews = now() + FIRST_LOOK_MILLISECONDS + FIRST_NEWS_MILLISECONDS;
+        followers.servers().coverUntil(firstNews);
+        followers.operator().coverUntil(firstNews);
+        scheduler.schedule(FIRST_LOOK_MILLISECONDS, followers.hosts()::start);
     }
 
     /**
@@ -118,6 +135,24 @@
             count = table.count(self.name(), now());
         }
         hostCount.accept(count);
+        publishOnce();
+        askSource();
+    }
+
+    /** A host that starts again mostly finds itself published. */
+    private void publishOnce() {
+        if (!published.compareAndSet(false, true)) {
+            return;
+        }
+        boolean known;
+        synchronized (this) {
+            known = table.holds(self);
+        }
+        if (known) {
+            publisher.renewLater();
+        } else {
+            publisher.publish();
+        }
     }
 
     /**
@@ -128,7 +163,6 @@
     public void serversRead(Changes<ServerChange> changes) {
         synchronized (this) {
             book.follow(changes, now());
-            serversReadAt = now();
         }
         tellAll();
     }
@@ -140,10 +174,7 @@
      */
     public void operatorRead(Changes<OperatorChange> changes) {
         synchronized (this) {
-            operatorReadAt = now();
-            if (changes.whole() || !changes.items().isEmpty()) {
-                operatorVersion = changes.version();
-            }
+            operatorBook.follow(changes);
         }
         tellAll();
     }
@@ -164,13 +195,16 @@
     }
 
     private void tell(String host) {
-        List<FeedNews> messages;
+        List<PeerMessage> messages = new ArrayList<>();
         synchronized (this) {
-            if (book.version() < 0 || operatorVersion == 0) {
+            if (book.version() < 0 || operatorBook.version() == 0) {
                 return;
             }
-            messages = newsFor(subscribers.toldVersion(host));
-            subscribers.told(host, book.version());
+            if (subscribers.toldOperatorVersion(host) < operatorBook.version()) {
+                operatorBook.news(followers.operator().ageMilliseconds()).ifPresent(messages::add);
+            }
+            messages.addAll(newsFor(subscribers.toldVersion(host)));
+            subscribers.told(host, book.version(), operatorBook.version());
         }
         messages.forEach(message -> sender.send(host, message));
     }
@@ -191,10 +225,10 @@
                             to < news.entries().size(),
                             news.entries().subList(from, to),
                             news.gone(),
-                            now - serversReadAt,
+                            followers.servers().ageMilliseconds(),
                             followers.sinceRegainedMilliseconds(),
-                            operatorVersion,
-                            now - operatorReadAt,
+                            operatorBook.version(),
+                            followers.operator().ageMilliseconds(),
                             table.count(self.name(), now)));
             from = to;
         } while (from < news.entries().size());
@@ -212,6 +246,8 @@
             asked(host, ask);
         } else if (message instanceof FeedNews news) {
             told(host, news);
+        } else if (message instanceof OperatorNews news) {
+            told(host, news);
         }
     }
 
@@ -238,13 +274,29 @@
             return;
         }
         regainedElsewhereAt = now() - news.regainedMilliseconds();
-        if (followers.servers().offer(news.sinceVersion(), changesOf(news, entries.get()))) {
+        if (followers
+                .servers()
+                .offer(
+                        news.sinceVersion(),
+                        changesOf(news, entries.get()),
+                        news.ageMilliseconds())) {
             cover(news);
         } else {
             ask(host);
         }
     }
 
+    private void told(String host, OperatorNews news) {
+        synchronized (this) {
+            if (!choice.isSource(host)) {
+                return;
+            }
+        }
+        followers
+                .operator()
+                .offer(news.version(), OperatorBook.changesOf(news), news.ageMilliseconds());
+    }
+
     private static Changes<ServerChange> changesOf(FeedNews news, List<ServerEntry> entries) {
         List<ServerChange> changes = new ArrayList<>(entries.size() + news.gone().size());
         entries.forEach(
@@ -269,21 +321,36 @@
 
     private void tick() {
         try {
-            Optional<String> asked;
             synchronized (this) {
                 subscribers.dropSilent(now());
-                asked = chooseSource();
             }
-            asked.ifPresent(this::ask);
+            askSource();
         } finally {
             scheduler.schedule(ASK_MILLISECONDS, this::tick);
         }
     }
 
-    private Optional<String> chooseSource() {
+    /** Asks the reader of this host, or has this host read if it is a reader itself. */
+    private void askSource() {
+        Optional<String> asked;
+        boolean reads;
+        synchronized (this) {
+            reads = isReader();
+            asked = chooseSource(reads);
+        }
+        asked.ifPresent(this::ask);
+        if (reads && !followers.servers().isSynced()) {
+            followers.servers().endCover();
+            followers.operator().endCover();
+        }
+    }
+
+    private boolean isReader() {
+        return table.readers(now()).stream().anyMatch(reader -> reader.name().equals(self.name()));
+    }
+
+    private Optional<String> chooseSource(boolean reads) {
         long now = now();
-        boolean reads =
-                table.readers(now).stream().anyMatch(reader -> reader.name().equals(self.name()));
         Optional<String> chosen =
                 reads ? Optional.empty() : choice.next(table.readersFor(self, now), now);
         if (!chosen.equals(source)) {
--- a/library/src/main/java/org/siskinramp/relay/HostPublisher.java
+++ b/library/src/main/java/org/siskinramp/relay/HostPublisher.java
@@ -29,6 +29,7 @@
         this.eventLog = eventLog;
     }
 
+    /** Publishes this host at once. */
     void publish() {
         Futures.whenDone(registry.publish(self), (done, failure) -> ended(failure));
     }
@@ -40,7 +41,7 @@
                             .with("peer_address", self.address())
                             .with("failures", failures));
             failures = 0;
-            scheduler.schedule(RENEWAL_MILLISECONDS, this::publish);
+            renewLater();
             return;
         }
         if (failures == 0) {
@@ -51,4 +52,9 @@
         failures++;
         scheduler.schedule(pause, this::publish);
     }
+
+    /** Publishes this host again before others forget it. */
+    void renewLater() {
+        scheduler.schedule(RENEWAL_MILLISECONDS, this::publish);
+    }
 }
--- a/library/src/main/java/org/siskinramp/relay/HostTable.java
+++ b/library/src/main/java/org/siskinramp/relay/HostTable.java
@@ -7,21 +7,26 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import net.openhft.hashing.LongHashFunction;
 import org.siskinramp.follow.Changes;
 
 /**
  * Keeps the hosts that published themselves, and says which of them read for the others. All hosts
- * put them in the same order without a message, and no availability zone comes first in it. It is
- * guarded by the lock of its owner.
+ * put them in the same order without a message. A few hosts have two readers, wherever these are;
+ * more have readers in each availability zone, since bytes between zones are dear. It is guarded by
+ * the lock of its owner.
  */
 final class HostTable {
 
     /** With two, the loss of a reader makes no other host read for itself for long. */
     private static final int FEWEST_READERS = 2;
 
-    /** A reader sends to this many hosts about twice a second, well below 1 % of a small core. */
-    private static final int HOSTS_OF_A_READER = 24;
+    /** Above this number of hosts each availability zone has readers of its own. */
+    private static final int HOSTS_OF_TWO_READERS = 24;
+
+    /** A reader sends to this many hosts about twice a second, about 1 % of a small core. */
+    private static final int HOSTS_OF_A_READER = 48;
 
     /** An entry is renewed far more often; a host that was replaced is no longer counted then. */
     private static final long FORGOTTEN_MILLISECONDS = 16 * 60_000;
@@ -59,8 +64,18 @@
     List<HostEntry> readers(long now) {
         List<HostEntry> ordered = present(now);
         ordered.sort(ORDER);
-        int readers = Math.max(FEWEST_READERS, ceil(ordered.size(), HOSTS_OF_A_READER));
-        return ordered.subList(0, Math.min(readers, ordered.size()));
+        if (ordered.size() <= HOSTS_OF_TWO_READERS) {
+            return ordered.subList(0, Math.min(FEWEST_READERS, ordered.size()));
+        }
+        Map<String, List<HostEntry>> byZone = new TreeMap<>();
+        for (HostEntry host : ordered) {
+            byZone.computeIfAbsent(host.availabilityZone(), zone -> new ArrayList<>()).add(host);
+        }
+        List<HostEntry> readers = new ArrayList<>();
+        for (List<HostEntry> zone : byZone.values()) {
+            readers.addAll(zone.subList(0, ceil(zone.size(), HOSTS_OF_A_READER)));
+        }
+        return readers;
     }
 
     /** Lists the readers in the order in which a host asks them: those of its zone come first. */
@@ -75,6 +90,11 @@
         return readers;
     }
 
+    boolean holds(HostEntry entry) {
+        Seen seen = hosts.get(entry.name());
+        return seen != null && seen.entry.equals(entry);
+    }
+
     Optional<String> addressOf(String host) {
         return Optional.ofNullable(hosts.get(host)).map(seen -> seen.entry.address());
     }
--- a/library/src/main/java/org/siskinramp/relay/RelayOptions.java
+++ b/library/src/main/java/org/siskinramp/relay/RelayOptions.java
@@ -6,8 +6,11 @@
  * @param serverSpanMilliseconds the greatest age of a read of the backend servers before this host
  *     reads for itself
  * @param operatorSpanMilliseconds the same for the operator's table
+ * @param firstStart whether all hosts start now for the first time, so that none is published yet
+ *     and no caller is there
  */
-public record RelayOptions(long serverSpanMilliseconds, long operatorSpanMilliseconds) {
+public record RelayOptions(
+        long serverSpanMilliseconds, long operatorSpanMilliseconds, boolean firstStart) {
 
     /** Two reads fit into a span, so that one that comes late makes no other host read. */
     private static final double READ_PART = 0.67;
--- a/library/src/main/java/org/siskinramp/relay/Subscribers.java
+++ b/library/src/main/java/org/siskinramp/relay/Subscribers.java
@@ -13,24 +13,35 @@
     /** Two asks may be lost before a host is told no more. */
     private static final long ASKED_MILLISECONDS = 3_500;
 
+    private static final long NOTHING = -1;
+
     private final Map<String, Subscriber> byHost = new LinkedHashMap<>();
 
     /** Notes an ask; returns true if the host is to be told at once. */
     boolean ask(String host, FeedAsk ask, long now) {
         Subscriber known = byHost.get(host);
         boolean news = known == null || known.toldVersion != ask.version();
-        byHost.put(host, new Subscriber(ask.address(), now, ask.version()));
+        boolean knowsNothing = known == null || ask.version() == NOTHING;
+        long operatorVersion = knowsNothing ? NOTHING : known.toldOperatorVersion;
+        byHost.put(host, new Subscriber(ask.address(), now, ask.version(), operatorVersion));
         return news;
     }
 
-    void told(String host, long version) {
+    void told(String host, long version, long operatorVersion) {
         byHost.computeIfPresent(
-                host, (name, known) -> new Subscriber(known.address, known.askedAt, version));
+                host,
+                (name, known) ->
+                        new Subscriber(known.address, known.askedAt, version, operatorVersion));
     }
 
     long toldVersion(String host) {
         Subscriber known = byHost.get(host);
-        return known == null ? -1 : known.toldVersion;
+        return known == null ? NOTHING : known.toldVersion;
+    }
+
+    long toldOperatorVersion(String host) {
+        Subscriber known = byHost.get(host);
+        return known == null ? NOTHING : known.toldOperatorVersion;
     }
 
     void dropSilent(long now) {
@@ -49,5 +60,6 @@
         return Optional.ofNullable(byHost.get(host)).map(Subscriber::address);
     }
 
-    private record Subscriber(String address, long askedAt, long toldVersion) {}
+    private record Subscriber(
+            String address, long askedAt, long toldVersion, long toldOperatorVersion) {}
 }
--- a/library/src/main/java/org/siskinramp/route/RouteTable.java
+++ b/library/src/main/java/org/siskinramp/route/RouteTable.java
@@ -66,6 +66,17 @@
         return routeCount;
     }
 
+    /**
+     * Lists the routes.
+     *
+     * @return all routes, in no particular order
+     */
+    public Collection<Route> routes() {
+        return routesByPrefixByHost.values().stream()
+                .flatMap(byPrefix -> byPrefix.values().stream())
+                .toList();
+    }
+
     /**
      * Returns the services.
      *
--- a/library/src/test/java/org/siskinramp/follow/ChangeFollowerTest.java
+++ b/library/src/test/java/org/siskinramp/follow/ChangeFollowerTest.java
@@ -110,7 +110,7 @@
     void takesWhatAPeerReadAndGoesOnFromThere() {
         answers.add(done(5, true, "a"));
         follower.start();
-        assertTrue(follower.offer(4, new Changes<>(9, false, List.of("b"))));
+        assertTrue(follower.offer(4, new Changes<>(9, false, List.of("b")), 10));
         assertEquals(9, follower.version());
         time.advance(1_500);
         assertEquals(List.of("all@0", "after-9@1000"), calls);
@@ -121,16 +121,46 @@
     void takesNothingAgainAndNothingAfterAGap() {
         answers.add(done(5, true, "a"));
         follower.start();
-        assertTrue(follower.offer(3, new Changes<>(5, false, List.of("old"))));
-        assertFalse(follower.offer(6, new Changes<>(9, false, List.of("later"))));
-        assertTrue(follower.offer(-1, new Changes<>(9, true, List.of("all"))));
+        assertTrue(follower.offer(3, new Changes<>(5, false, List.of("old")), 10));
+        assertFalse(follower.offer(6, new Changes<>(9, false, List.of("later")), 10));
+        assertTrue(follower.offer(-1, new Changes<>(9, true, List.of("all")), 10));
         assertEquals(List.of("a", "all"), taken);
     }
 
     @Test
-    void takesNothingFromAPeerBeforeItsFirstOwnRead() {
-        assertFalse(follower.offer(-1, new Changes<>(9, true, List.of("all"))));
-        assertEquals(List.of(), taken);
+    void takesOnlyAWholeTableFromAPeerBeforeItsFirstOwnRead() {
+        assertFalse(follower.offer(-1, new Changes<>(9, false, List.of("later")), 10));
+        assertFalse(follower.isSynced());
+        assertTrue(follower.offer(-1, new Changes<>(9, true, List.of("all")), 10));
+        assertTrue(follower.isSynced());
+        assertEquals(List.of("all"), taken);
+        assertEquals(10, follower.ageMilliseconds());
+    }
+
+    @Test
+    void takesNothingOlderFromAPeerAfterTheHistoryIsGone() {
+        answers.add(done(9, true, "a"));
+        answers.add(failed(ResultCode.HISTORY_GONE));
+        answers.add(failed(ResultCode.PLATFORM_UNAVAILABLE));
+        follower.start();
+        time.advance(1_050);
+        assertEquals(-1, follower.version());
+        assertFalse(follower.offer(-1, new Changes<>(7, true, List.of("old")), 10));
+        assertTrue(follower.offer(-1, new Changes<>(9, true, List.of("all")), 10));
+        assertEquals(List.of("a", "all"), taken);
+    }
+
+    @Test
+    void passesOverAnAnswerThatIsOlderThanWhatAPeerTold() {
+        CompletableFuture<Changes<String>> late = new CompletableFuture<>();
+        answers.add(done(5, true, "a"));
+        answers.add(late);
+        follower.start();
+        time.advance(1_500);
+        assertTrue(follower.offer(5, new Changes<>(9, false, List.of("told")), 10));
+        late.complete(new Changes<>(7, false, List.of("late")));
+        assertEquals(List.of("a", "told"), taken);
+        assertEquals(9, follower.version());
     }
 
     @Test
--- a/library/src/test/java/org/siskinramp/relay/FeedRelayTest.java
+++ b/library/src/test/java/org/siskinramp/relay/FeedRelayTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
+import org.siskinramp.route.Route;
 
 /** A store whose calls are priced serves many hosts, of which readers die and are cut off. */
 class FeedRelayTest {
@@ -67,7 +68,8 @@
             RelayWorld world = settled(hosts);
             int messages = world.messages;
             int calls = callsIn(world, 10_000);
-            int readers = Math.max(2, (hosts + 23) / 24);
+            int readers = hosts <= 24 ? 2 : 3 * ((hosts / 3 + 47) / 48);
+            assertEquals(readers, world.readers().size(), hosts + " hosts");
             assertTrue(calls <= readers * 10 * 2.4, hosts + " hosts: calls " + calls);
             double each = (world.messages - messages) / 10.0 / hosts;
             assertTrue(each <= 4, hosts + " hosts: messages " + each);
@@ -97,6 +99,51 @@
                 .forEach(host -> assertTrue(host.settings.contains("op/evacuate"), host.name));
     }
 
+    @Test
+    void aStormOfOperatorsChangesCostsNoCallsOfHostsThatAreTold() {
+        RelayWorld world = settled(100);
+        int calls = world.calls;
+        for (int change = 0; change < 12; change++) {
+            world.write("op/config");
+            world.time.advance(330);
+        }
+        long version = world.write("op/config");
+        world.time.advance(1_100);
+        world.hosts.values().forEach(host -> assertEquals(version, host.routesVersion, host.name));
+        assertTrue(world.calls - calls <= 3 * 30, "calls " + (world.calls - calls));
+    }
+
+    @Test
+    void manyRoutesAreReadFromTheStoreByEachHost() {
+        RelayWorld world = settled(30);
+        List<Route> many = new ArrayList<>();
+        for (int number = 0; number <= OperatorBook.ROUTES_TOLD_AT_MOST; number++) {
+            many.add(Route.builder().name("r").host("h").prefix("/" + number + "/").build());
+        }
+        world.routes = many;
+        long version = world.write("op/config");
+        world.time.advance(1_100);
+        world.hosts.values().forEach(host -> assertEquals(version, host.routesVersion, host.name));
+    }
+
+    @Test
+    void hostsThatStartForTheFirstTimeTogetherMakeThreeCallsEach() {
+        RelayWorld world = settled(100);
+        long version = world.write("op/config");
+        world.time.advance(1_000);
+        world.hosts.values().forEach(host -> assertEquals(version, host.routesVersion, host.name));
+        assertTrue(world.calls <= 100 * 2 + 3 * 20, "calls " + world.calls);
+    }
+
+    @Test
+    void hostsThatStartAgainTogetherReadAtOnceAndMakeFewCalls() {
+        RelayWorld world = new RelayWorld(100, false);
+        world.time.advance(20);
+        world.hosts.values().forEach(host -> assertTrue(host.routesVersion > 0, host.name));
+        world.time.advance(SETTLED);
+        assertTrue(world.calls <= 100 * 5 + 3 * 20, "calls " + world.calls);
+    }
+
     @Test
     void hostsWhoseReadersDieReadForThemselvesInTime() {
         RelayWorld world = settled(HOSTS);
--- a/library/src/test/java/org/siskinramp/relay/HostTableTest.java
+++ b/library/src/test/java/org/siskinramp/relay/HostTableTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.siskinramp.follow.Changes;
@@ -35,13 +36,26 @@
     }
 
     @Test
-    void twoOfAFewHostsReadAndAboutOneInTwentyFourOfMany() {
+    void twoOfAFewHostsReadAndOneInFortyEightOfEachZoneOfMany() {
         publish(17, 0);
         assertEquals(2, table.readers(0).size());
+        publish(24, 0);
+        assertEquals(2, table.readers(0).size());
         publish(110, 0);
-        assertEquals(5, table.readers(0).size());
+        assertEquals(List.of(1L, 1L, 1L), readersOfEachZone());
         publish(300, 0);
-        assertEquals(13, table.readers(0).size());
+        assertEquals(List.of(3L, 3L, 3L), readersOfEachZone());
+    }
+
+    private List<Long> readersOfEachZone() {
+        return List.copyOf(
+                table.readers(0).stream()
+                        .collect(
+                                Collectors.groupingBy(
+                                        HostEntry::availabilityZone,
+                                        TreeMap::new,
+                                        Collectors.counting()))
+                        .values());
     }
 
     @Test
--- a/library/src/test/java/org/siskinramp/relay/RelayWorld.java
+++ b/library/src/test/java/org/siskinramp/relay/RelayWorld.java
@@ -22,6 +22,9 @@
 import org.siskinramp.peer.PeerMessage;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.result.ResultException;
+import org.siskinramp.route.CallerLimits;
+import org.siskinramp.route.Route;
+import org.siskinramp.route.RouteTable;
 import org.siskinramp.time.VirtualTime;
 
 /** Plays a store and hosts with relays under virtual time, with cuts, kills and outages. */
@@ -32,23 +35,35 @@
     private static final long CALL_MILLISECONDS = 5;
     private static final long MESSAGE_MILLISECONDS = 1;
     private static final long STORE_TIMEOUT = 700;
+    private static final CallerLimits LIMITS = new CallerLimits(1, 1, 1, 1);
 
     final VirtualTime time = new VirtualTime();
     final Map<String, Host> hosts = new LinkedHashMap<>();
     final Set<String> cutFromStore = new HashSet<>();
     final Set<String> cutFromHosts = new HashSet<>();
     boolean storeOut;
+    List<Route> routes = List.of();
     int calls;
     int messages;
     private final Map<String, Row> rows = new TreeMap<>();
+    private final boolean firstStart;
     private long version = 1;
 
     RelayWorld(int count) {
+        this(count, true);
+    }
+
+    /** Starts hosts for the first time, or again after they had published themselves before. */
+    RelayWorld(int count, boolean firstStart) {
+        this.firstStart = firstStart;
         write("op/config");
         for (int number = 0; number < count; number++) {
             String name = "host-" + number;
             hosts.put(name, new Host(name, "zone-" + number % 3));
         }
+        if (!firstStart) {
+            hosts.keySet().forEach(name -> write("hosts/" + name));
+        }
         hosts.values().forEach(Host::start);
     }
 
@@ -151,6 +166,7 @@
         final HostEntry entry;
         boolean alive = true;
         int counted;
+        long routesVersion;
         final Set<String> draining = new HashSet<>();
         final Set<String> settings = new HashSet<>();
         FeedRelay relay;
@@ -163,7 +179,7 @@
         private void start() {
             relay =
                     new FeedRelay(
-                            new RelayOptions(SERVER_SPAN, OPERATOR_SPAN),
+                            new RelayOptions(SERVER_SPAN, OPERATOR_SPAN, firstStart),
                             time,
                             (delay, task) -> time.schedule(delay, () -> runIfAlive(task)),
                             event -> {},
@@ -178,7 +194,7 @@
             ChangeFollower<OperatorChange> operator =
                     follower(
                             "op/",
-                            row -> new OperatorChange.Evacuation(row.key, true),
+                            this::operatorChange,
                             this::operatorRead,
                             () -> 250,
                             () -> relay.isAsked() ? 1_000 : 2_200);
@@ -233,11 +249,22 @@
 
         private void operatorRead(Changes<OperatorChange> changes) {
             for (OperatorChange change : changes.items()) {
-                settings.add(((OperatorChange.Evacuation) change).availabilityZone());
+                if (change instanceof OperatorChange.Evacuation evacuation) {
+                    settings.add(evacuation.availabilityZone());
+                } else if (change instanceof OperatorChange.Routes newer) {
+                    routesVersion = newer.routes().version();
+                }
             }
             relay.operatorRead(changes);
         }
 
+        private OperatorChange operatorChange(Row row) {
+            return row.key.equals("op/config")
+                    ? new OperatorChange.Routes(
+                            new RouteTable(row.version, routes, List.of(), LIMITS))
+                    : new OperatorChange.Evacuation(row.key, true);
+        }
+
         private ServerEntry drainingServer(String key) {
             return ServerBookTest.entry(key, true, 0, 1);
         }
