--- a/library/src/test/java/org/siskinramp/gateway/GatewayTest.java
+++ b/library/src/test/java/org/siskinramp/gateway/GatewayTest.java
@@ -249,6 +249,22 @@
         assertTrue(overloaded >= 0.9, "share in objective: " + overloaded);
     }
 
+    /** Probes into other zones cost bytes, and find hardly any room while all are full. */
+    @Test
+    void asksOtherZonesAboutOnceForEachRequestWhileAllZonesAreFull() {
+        publishThreeZones();
+        shareInObjective(READ, 3_000, 0.6);
+        int far = servers.probesInto("zone-2") + servers.probesInto("zone-3");
+        assertTrue(far <= 1.1 * 3_000, "probes into other zones: " + far);
+    }
+
+    @Test
+    void findsRoomInAnotherZoneWhileItsOwnIsFull() {
+        publishThreeZones();
+        double served = shareInObjective(READ, 3_000, 0.3);
+        assertTrue(served >= 0.97, "share in objective: " + served);
+    }
+
     @Test
     void servesUrgentRequestsFirstAndStarvesNoneUnderTwiceWhatFits() {
         for (int number = 0; number < 4; number++) {
@@ -356,6 +372,13 @@
         return (double) good / answers.size();
     }
 
+    /** Publishes servers that end 480 requests a second together. */
+    private void publishThreeZones() {
+        for (int number = 0; number < 12; number++) {
+            publish(servers.add("server-" + number, "zone-" + (1 + number % 3), 4, 100));
+        }
+    }
+
     private void publish(ModelServers.Model... models) {
         for (ModelServers.Model model : models) {
             gateway.put(model.entry());
