--- a/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamStandIn.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamStandIn.java
@@ -44,6 +44,7 @@
     private volatile String state = "ready";
     private volatile long coldMilliseconds;
     private volatile boolean closed;
+    private volatile String publishedAddress;
 
     /**
      * Starts a backend server.
@@ -69,6 +70,7 @@
         this.workMilliseconds = workMilliseconds;
         this.store = store;
         http = HttpService.start("127.0.0.1:0", this::handle);
+        publishedAddress = http.address();
         heartbeat();
     }
 
@@ -83,7 +85,7 @@
         Map<String, Object> entry =
                 Map.of(
                         "service", service,
-                        "address", http.address(),
+                        "address", publishedAddress,
                         "zone", zone,
                         "version", "v1",
                         "concurrency", slots,
@@ -122,6 +124,34 @@
         publish();
     }
 
+    /**
+     * Returns its identity.
+     *
+     * @return the identity under which it publishes itself
+     */
+    public String identity() {
+        return identity;
+    }
+
+    /**
+     * Returns where it listens.
+     *
+     * @return the address as {@code ip:port}
+     */
+    public String address() {
+        return http.address();
+    }
+
+    /**
+     * Lets others reach it at another address, such as that of a proxy.
+     *
+     * @param address the address as {@code ip:port}
+     */
+    public void publishAt(String address) {
+        publishedAddress = address;
+        publish();
+    }
+
     /** Publishes that it drains. */
     public void drain() {
         state = "draining";
