Let requests that end in time go first, and take back the limit on far probes

Now: the latest start is the median's again; when a server has room, a request that nine of ten times would end late lets others of its rank go first. It is reverted with its test.

--- a/library/src/main/java/org/siskinramp/gateway/SearchDesk.java
+++ b/library/src/main/java/org/siskinramp/gateway/SearchDesk.java
@@ -1,10 +1,7 @@
 package org.siskinramp.gateway;
 
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.stream.Collectors;
 import org.siskinramp.attempt.AttemptException;
 import org.siskinramp.attempt.LoadReport;
 import org.siskinramp.fleet.KnownServer;
@@ -71,15 +68,6 @@
     /** Probes for each request on average: a first round, and a second one for one in three. */
     private static final double PROBES_PER_REQUEST = 3;
 
-    /**
-     * Probes into other zones for each request on average, while the own zone has servers. Each
-     * costs about as many bytes between zones as a third of a request.
-     */
-    private static final double FAR_PROBES_PER_REQUEST = 1;
-
-    /** The servers of other zones that are asked in a round beside those of the own zone. */
-    private static final int FAR_CANDIDATES = 1;
-
     /** Probes that are kept, so that requests whose search is long may use them. */
     private static final double PROBES_KEPT = 60;
 
@@ -88,7 +76,6 @@
     private final GatewayOptions options;
     private final Locked locked;
     private final TokenBucket probeBudget = new TokenBucket(PROBES_KEPT);
-    private final TokenBucket farProbeBudget = new TokenBucket(PROBES_KEPT);
     private int searches;
 
     SearchDesk(
@@ -105,7 +92,6 @@
     /** Lets a new request pay for its probes, so that no host has to know how many others probe. */
     void countRequest() {
         probeBudget.give(PROBES_PER_REQUEST);
-        farProbeBudget.give(FAR_PROBES_PER_REQUEST);
     }
 
     /** Starts searches for waiting requests that have none. */
@@ -139,7 +125,8 @@
             end(run);
             return;
         }
-        List<KnownServer> asked = candidates(run, servers);
+        List<KnownServer> asked =
+                CandidateChoice.choose(servers, candidates(run), now(), environment.random());
         if (asked.isEmpty() || !probeBudget.take(asked.size())) {
             conclude(run, OLD_SIGHT_MILLISECONDS, effects);
             return;
@@ -147,34 +134,10 @@
         ask(new Round(run, asked.size()), asked, effects);
     }
 
-    /**
-     * Asks mostly near servers; far ones cost bytes between zones, and are asked a few at a time.
-     */
-    private List<KnownServer> candidates(GatewayRun run, List<KnownServer> servers) {
-        int count =
-                run.rounds() == 0
-                        ? Math.min(FIRST_CANDIDATES, options.candidates())
-                        : options.candidates();
-        Map<Boolean, List<KnownServer>> byNearness =
-                servers.stream()
-                        .collect(
-                                Collectors.partitioningBy(
-                                        server -> server.isIn(environment.availabilityZone())));
-        List<KnownServer> near = byNearness.get(true);
-        List<KnownServer> far = byNearness.get(false);
-        if (near.isEmpty() || far.isEmpty()) {
-            return choose(servers, count);
-        }
-        List<KnownServer> asked = new ArrayList<>();
-        if (farProbeBudget.take(FAR_CANDIDATES)) {
-            asked.addAll(choose(far, FAR_CANDIDATES));
-        }
-        asked.addAll(choose(near, count - asked.size()));
-        return asked;
-    }
-
-    private List<KnownServer> choose(List<KnownServer> servers, int count) {
-        return CandidateChoice.choose(servers, count, now(), environment.random());
+    private int candidates(GatewayRun run) {
+        return run.rounds() == 0
+                ? Math.min(FIRST_CANDIDATES, options.candidates())
+                : options.candidates();
     }
 
     private void ask(Round round, List<KnownServer> asked, Effects effects) {
--- a/library/src/main/java/org/siskinramp/gateway/ServicePool.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServicePool.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.siskinramp.attempt.AttemptAnswer;
 import org.siskinramp.fleet.Fleet;
@@ -34,7 +35,7 @@
 
     private static final double MEDIAN = 0.5;
 
-    /** Of ten requests that start as late as they may, nine end in their objective. */
+    /** Of ten requests that start by this quantile of their work, nine end in their objective. */
     private static final double NEARLY_ALL = 0.9;
 
     private static final int USUAL_PACE_PERCENT = 100;
@@ -121,12 +122,41 @@
     }
 
     private long latestStart(GatewayRun run) {
+        return latestStart(run, MEDIAN);
+    }
+
+    /** Returns when a request must start so that this share of such work ends in its objective. */
+    private long latestStart(GatewayRun run, double share) {
         return Math.min(
                 run.request().deadlineMilliseconds() - 1,
                 AdmissionRule.latestStart(
                         run.request().arrivedMilliseconds(),
                         run.route().objectiveMilliseconds(),
-                        workMilliseconds(run, NEARLY_ALL)));
+                        workMilliseconds(run, share)));
+    }
+
+    /**
+     * Chooses the request that gets a server: by rank, then by time. One that will hardly end in
+     * its objective any more lets others of its rank go first. Answers more work than all servers
+     * bear: if the longest waiting were always next, all would start so late that half of them
+     * earned nothing.
+     */
+    private Optional<GatewayRun> nextFor(KnownServer server, long now) {
+        Predicate<GatewayRun> untried = waiting -> !waiting.hasTried(server.server().name());
+        Optional<GatewayRun> first = queue.findFirst(untried);
+        if (first.isEmpty() || endsInTime(first.get(), now)) {
+            return first;
+        }
+        int rank = first.get().route().rank();
+        return queue.findFirst(
+                        untried.and(
+                                waiting ->
+                                        waiting.route().rank() == rank && endsInTime(waiting, now)))
+                .or(() -> first);
+    }
+
+    private boolean endsInTime(GatewayRun run, long now) {
+        return now <= latestStart(run, NEARLY_ALL);
     }
 
     long typicalMilliseconds(GatewayRun run) {
@@ -219,13 +249,12 @@
         if (server.isCold(now) && !scope.takeColdTurn(server, now)) {
             return false;
         }
-        Optional<GatewayRun> next =
-                queue.takeFirst(waiting -> !waiting.hasTried(server.server().name()));
+        Optional<GatewayRun> next = nextFor(server, now);
         if (next.isEmpty()) {
             return false;
         }
         GatewayRun run = next.get();
-        run.endWaiting();
+        unqueue(run);
         startRate.add(now);
         desk.start(run, server, run.sendCount() == 0 ? reason : "repeat", effects);
         return true;
@@ -330,9 +359,7 @@
     }
 
     private boolean acceptsRoom(KnownServer server) {
-        return queue.findFirst(run -> !run.hasTried(server.server().name()))
-                .filter(run -> searches.accepts(run, server))
-                .isPresent();
+        return nextFor(server, now()).filter(run -> searches.accepts(run, server)).isPresent();
     }
 
     private long now() {
