Hand on what is known to a host that starts while it cannot reach the store

Cause: a host that started while the store was away, or turned it away, answered 503 until the store was back, though its peers knew routes and servers; it learns of peers from the store only. Change: the settings name some hosts by address (seeds). A starting host that has not read who the others are within 0.3 s asks one seed a second. A host tells one that knows nothing also when it is told itself; ages are counted from the reader's read. A link to an address opens with an empty name of the receiver. Ruled out: waiting for the host table (that is what is missing); telling among hosts that are told in general (ages would add up without need). Tests: FeedRelayTest (store away, first seed dead and store turning the host away), GatewayRelayProcessTest with processes, PeerLinkTest, ExamplesTest.

--- a/daemon/src/main/java/org/siskinramp/daemon/peer/InboundLink.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/peer/InboundLink.java
@@ -125,7 +125,7 @@
         if (!(first instanceof Hello hello)) {
             throw new ResultException(ResultCode.FRAME_INVALID, "the first frame names no sender");
         }
-        if (!hello.receiver().equals(options.hostName())) {
+        if (!hello.isFor(options.hostName())) {
             throw new ResultException(
                     ResultCode.FRAME_INVALID, "meant for host " + hello.receiver());
         }
--- a/daemon/src/main/java/org/siskinramp/daemon/peer/OutboundLink.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/peer/OutboundLink.java
@@ -10,6 +10,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.Optional;
 import java.util.function.Function;
+import org.siskinramp.peer.SeedName;
 import org.siskinramp.result.ResultException;
 
 /**
@@ -132,7 +133,8 @@
     private void connected(SelectionKey key, long nowMilliseconds) throws IOException {
         connected = true;
         key.interestOps(SelectionKey.OP_READ);
-        Frame hello = codec.encode(new Hello(options.hostName(), options.incarnation(), peer));
+        String receiver = SeedName.address(peer).isPresent() ? Hello.WHOEVER_LISTENS : peer;
+        Frame hello = codec.encode(new Hello(options.hostName(), options.incarnation(), receiver));
         output.clear();
         output.put(hello.bytes()).flip();
         reports.sent(hello);
--- a/daemon/src/main/java/org/siskinramp/daemon/settings/GatewaySettings.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -89,8 +90,21 @@
      *
      * @param address where it listens
      * @param firstStart whether all hosts of the deployment start now for the first time
+     * @param seeds addresses of some other hosts, as {@code ip:port}
      */
-    public record Peers(InetSocketAddress address, boolean firstStart) {}
+    public record Peers(InetSocketAddress address, boolean firstStart, List<String> seeds) {
+
+        /**
+         * Copies the list so that the settings cannot change.
+         *
+         * @param address where it listens
+         * @param firstStart whether all hosts start for the first time
+         * @param seeds addresses of some other hosts
+         */
+        public Peers {
+            seeds = List.copyOf(seeds);
+        }
+    }
 
     /**
      * Describes how requests are placed.
--- a/daemon/src/main/java/org/siskinramp/daemon/settings/GatewaySettingsReader.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/GatewaySettingsReader.java
@@ -92,7 +92,9 @@
         SettingsSection section = section("peers");
         GatewaySettings.Peers peers =
                 new GatewaySettings.Peers(
-                        section.address("address"), section.flag("first_start", false));
+                        section.address("address"),
+                        section.flag("first_start", false),
+                        section.addresses("seeds"));
         section.close();
         return peers;
     }
--- a/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsSection.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/SettingsSection.java
@@ -13,6 +13,7 @@
 import java.util.function.Function;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
+import org.tomlj.TomlArray;
 import org.tomlj.TomlParseResult;
 import org.tomlj.TomlPosition;
 import org.tomlj.TomlTable;
@@ -67,6 +68,28 @@
         return address.orElse(new InetSocketAddress(0));
     }
 
+    /** Reads a list of addresses; a missing one is empty. */
+    List<String> addresses(String key) {
+        String allowed = "a list of " + ADDRESS_ALLOWED;
+        Object value = value(key);
+        if (value == null) {
+            return List.of();
+        }
+        if (!(value instanceof TomlArray list)) {
+            addFault(key, "has the wrong type", allowed);
+            return List.of();
+        }
+        List<String> addresses = new ArrayList<>();
+        for (Object element : list.toList()) {
+            if (element instanceof String text && IpAddress.parse(text).isPresent()) {
+                addresses.add(text);
+            } else {
+                addFault(key, element + " is not an address", allowed);
+            }
+        }
+        return addresses;
+    }
+
     URI httpAddress(String key) {
         Optional<String> text = requiredText(key, HTTP_ADDRESS_ALLOWED);
         Optional<String> address =
--- a/daemon/src/test/java/org/siskinramp/daemon/documents/ExamplesTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/documents/ExamplesTest.java
@@ -1,6 +1,7 @@
 package org.siskinramp.daemon.documents;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -36,6 +37,21 @@
         assertEquals(List.of(), SettingsFile.checkGateway(settings).faults());
     }
 
+    @Test
+    void seedsThatAreNoAddressesAreReportedOneByOne() throws IOException {
+        Path copy = directory.resolve("gateway.toml");
+        String settings = Files.readString(EXAMPLES.resolve("gateway").resolve("settings.toml"));
+        Files.writeString(
+                copy,
+                settings.replace(
+                        "[peers]", "[peers]\nseeds = [\"10.0.0.1:80\", \"edge-2:80\", 7]"));
+        List<String> faults =
+                SettingsFile.checkGateway(copy).faults().stream().map(Object::toString).toList();
+        assertEquals(2, faults.size(), faults.toString());
+        assertTrue(faults.get(0).contains("edge-2:80 is not an address"), faults.get(0));
+        assertTrue(faults.get(1).contains("7 is not an address"), faults.get(1));
+    }
+
     @Test
     void theTicketsOfTheExamplesHaveTheSizesOfTheirUsers() throws IOException {
         JsonNode qazaq = ticket("qazaq");
--- a/daemon/src/test/java/org/siskinramp/daemon/peer/PeerLinkTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/peer/PeerLinkTest.java
@@ -25,6 +25,7 @@
 import org.siskinramp.peer.ColdSighting;
 import org.siskinramp.peer.ConfigurationNotice;
 import org.siskinramp.peer.PeerMessage;
+import org.siskinramp.peer.SeedName;
 import org.siskinramp.time.SystemClock;
 
 class PeerLinkTest {
@@ -67,6 +68,16 @@
         assertReceived("entry-2 from entry-1 ConfigurationNotice[version=2]");
     }
 
+    @Test
+    void reachesWhoeverListensAtASeedsAddress() throws Exception {
+        PeerLink first = start("entry-1", 0);
+        PeerLink second = start("entry-2", 0);
+        String seed = SeedName.of("127.0.0.1:" + second.port());
+        addresses.put(seed, "127.0.0.1:" + second.port());
+        first.send(seed, new ConfigurationNotice(1));
+        assertReceived("entry-2 from entry-1 ConfigurationNotice[version=1]");
+    }
+
     @Test
     void opensTheLinkAgainAfterThePeerStartsAnew() throws Exception {
         PeerLink first = start("entry-1", 0);
--- a/library/src/main/java/org/siskinramp/relay/FeedRelay.java
+++ b/library/src/main/java/org/siskinramp/relay/FeedRelay.java
@@ -18,6 +18,7 @@
 import org.siskinramp.peer.OperatorNews;
 import org.siskinramp.peer.PeerMessage;
 import org.siskinramp.peer.PeerSender;
+import org.siskinramp.peer.SeedName;
 import org.siskinramp.time.Clock;
 import org.siskinramp.time.Scheduler;
 
@@ -40,6 +41,9 @@
     /** Covers the read of a reader and its message; after it a host reads for itself. */
     private static final long FIRST_NEWS_MILLISECONDS = 700;
 
+    /** A store that is well answers a starting host far sooner. */
+    private static final long SEED_PATIENCE_MILLISECONDS = 300;
+
     /** The hosts are read again only if no reader tells how many there are. */
     private static final long HOSTS_SPAN_MILLISECONDS = 30_000;
 
@@ -57,6 +61,7 @@
     private final Subscribers subscribers = new Subscribers();
     private final SourceChoice choice = new SourceChoice();
     private final NewsParts parts = new NewsParts();
+    private final SeedAsks seeds;
     private Optional<String> source = Optional.empty();
     private final AtomicBoolean published = new AtomicBoolean();
     private volatile HostPublisher publisher;
@@ -82,6 +87,7 @@
             EventLog eventLog,
             IntConsumer hostCount) {
         this.options = options;
+        this.seeds = new SeedAsks(options.seeds());
         this.clock = clock;
         this.scheduler = scheduler;
         this.eventLog = eventLog;
@@ -107,6 +113,7 @@
             startWithAll();
         } else {
             followed.hosts().start();
+            scheduler.schedule(SEED_PATIENCE_MILLISECONDS, this::askSeed);
         }
         scheduler.schedule(ASK_MILLISECONDS, this::tick);
     }
@@ -256,7 +263,8 @@
         synchronized (this) {
             news = subscribers.ask(host, ask, now());
         }
-        if (news && !isFed()) {
+        boolean knowsNothing = ask.version() < 0;
+        if (news && (knowsNothing || !isFed())) {
             tell(host);
         }
     }
@@ -264,7 +272,7 @@
     private void told(String host, FeedNews news) {
         Optional<List<ServerEntry>> entries;
         synchronized (this) {
-            if (!choice.isSource(host)) {
+            if (!listensTo(host)) {
                 return;
             }
             choice.heard(now());
@@ -288,7 +296,7 @@
 
     private void told(String host, OperatorNews news) {
         synchronized (this) {
-            if (!choice.isSource(host)) {
+            if (!listensTo(host)) {
                 return;
             }
         }
@@ -312,7 +320,9 @@
         fedUntil = Math.min(serversUntil, operatorUntil);
         followers.servers().coverUntil(serversUntil);
         followers.operator().coverUntil(operatorUntil);
-        followers.hosts().coverUntil(now() + HOSTS_SPAN_MILLISECONDS);
+        if (followers.hosts().isSynced()) {
+            followers.hosts().coverUntil(now() + HOSTS_SPAN_MILLISECONDS);
+        }
         if (followers.operator().version() < news.operatorVersion()) {
             followers.operator().readNow();
         }
@@ -325,6 +335,7 @@
                 subscribers.dropSilent(now());
             }
             askSource();
+            askSeed();
         } finally {
             scheduler.schedule(ASK_MILLISECONDS, this::tick);
         }
@@ -345,6 +356,23 @@
         }
     }
 
+    /** A host that cannot read who the others are has only the seeds to ask. */
+    private void askSeed() {
+        if (followers.hosts().isSynced()) {
+            return;
+        }
+        Optional<String> seed;
+        synchronized (this) {
+            seed = seeds.next(self.address());
+        }
+        seed.ifPresent(address -> ask(SeedName.of(address)));
+    }
+
+    /** Whatever tells a host that knows nothing yet is welcome. */
+    private boolean listensTo(String host) {
+        return choice.isSource(host) || !followers.hosts().isSynced();
+    }
+
     private boolean isReader() {
         return table.readers(now()).stream().anyMatch(reader -> reader.name().equals(self.name()));
     }
@@ -376,7 +404,8 @@
      * @return its address as {@code ip:port}, or empty if it is not known
      */
     public synchronized Optional<String> addressOf(String host) {
-        Optional<String> asked = subscribers.addressOf(host);
+        Optional<String> seed = SeedName.address(host);
+        Optional<String> asked = seed.isPresent() ? seed : subscribers.addressOf(host);
         return asked.isPresent() ? asked : table.addressOf(host);
     }
 
--- a/library/src/main/java/org/siskinramp/relay/RelayOptions.java
+++ b/library/src/main/java/org/siskinramp/relay/RelayOptions.java
@@ -1,5 +1,7 @@
 package org.siskinramp.relay;
 
+import java.util.List;
+
 /**
  * Holds how old a sight of the platform's tables may be.
  *
@@ -8,9 +10,25 @@
  * @param operatorSpanMilliseconds the same for the operator's table
  * @param firstStart whether all hosts start now for the first time, so that none is published yet
  *     and no caller is there
+ * @param seeds addresses of hosts that a starting host asks while it cannot reach the store
  */
 public record RelayOptions(
-        long serverSpanMilliseconds, long operatorSpanMilliseconds, boolean firstStart) {
+        long serverSpanMilliseconds,
+        long operatorSpanMilliseconds,
+        boolean firstStart,
+        List<String> seeds) {
+
+    /**
+     * Copies the list so that the options cannot change.
+     *
+     * @param serverSpanMilliseconds the greatest age of a read of the backend servers
+     * @param operatorSpanMilliseconds the same for the operator's table
+     * @param firstStart whether all hosts start now for the first time
+     * @param seeds addresses of hosts to ask
+     */
+    public RelayOptions {
+        seeds = List.copyOf(seeds);
+    }
 
     /** Two reads fit into a span, so that one that comes late makes no other host read. */
     private static final double READ_PART = 0.67;
--- a/library/src/test/java/org/siskinramp/relay/FeedRelayTest.java
+++ b/library/src/test/java/org/siskinramp/relay/FeedRelayTest.java
@@ -144,6 +144,36 @@
         assertTrue(world.calls <= 100 * 5 + 3 * 20, "calls " + world.calls);
     }
 
+    @Test
+    void aHostThatStartsWhileTheStoreIsAwayLearnsFromASeed() {
+        RelayWorld world = settled(HOSTS);
+        world.seeds = List.of("host-3:1", "host-7:1");
+        long version = world.write("op/config");
+        world.write("op/evacuate");
+        world.time.advance(BOUND);
+        world.storeOut = true;
+        RelayWorld.Host started = world.host("host-5");
+        started.restart();
+        world.time.advance(1_000);
+        assertEquals(version, started.routesVersion);
+        assertTrue(started.settings.contains("op/evacuate"));
+    }
+
+    /** The first seed does not answer; the next one is asked a second later. */
+    @Test
+    void aHostThatTheStoreTurnsAwayAtItsStartLearnsFromAnotherSeed() {
+        RelayWorld world = settled(HOSTS);
+        world.seeds = List.of("host-3:1", "host-7:1");
+        world.host("host-3").alive = false;
+        world.cutFromStore.add("host-5");
+        RelayWorld.Host started = world.host("host-5");
+        started.restart();
+        world.time.advance(2_200);
+        assertTrue(started.routesVersion > 0);
+        world.cutFromStore.clear();
+        assertChangesAreKnownWithin(BOUND + 1_000, world);
+    }
+
     @Test
     void hostsWhoseReadersDieReadForThemselvesInTime() {
         RelayWorld world = settled(HOSTS);
--- a/library/src/test/java/org/siskinramp/relay/RelayWorld.java
+++ b/library/src/test/java/org/siskinramp/relay/RelayWorld.java
@@ -20,11 +20,13 @@
 import org.siskinramp.follow.OperatorChange;
 import org.siskinramp.follow.ServerChange;
 import org.siskinramp.peer.PeerMessage;
+import org.siskinramp.peer.SeedName;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.result.ResultException;
 import org.siskinramp.route.CallerLimits;
 import org.siskinramp.route.Route;
 import org.siskinramp.route.RouteTable;
+import org.siskinramp.time.Scheduler;
 import org.siskinramp.time.VirtualTime;
 
 /** Plays a store and hosts with relays under virtual time, with cuts, kills and outages. */
@@ -43,6 +45,7 @@
     final Set<String> cutFromHosts = new HashSet<>();
     boolean storeOut;
     List<Route> routes = List.of();
+    List<String> seeds = List.of();
     int calls;
     int messages;
     private final Map<String, Row> rows = new TreeMap<>();
@@ -144,15 +147,19 @@
         return new ResultException(ResultCode.PLATFORM_UNAVAILABLE, "test");
     }
 
-    private void deliver(String from, String to, PeerMessage message) {
+    private void deliver(String from, String receiver, PeerMessage message) {
         messages++;
+        String to =
+                SeedName.address(receiver)
+                        .map(address -> address.substring(0, address.indexOf(':')))
+                        .orElse(receiver);
         time.schedule(
                 MESSAGE_MILLISECONDS,
                 () -> {
                     boolean cut = cutFromHosts.contains(from) || cutFromHosts.contains(to);
-                    Host receiver = hosts.get(to);
-                    if (!cut && receiver.alive) {
-                        receiver.relay.receive(from, message);
+                    Host reached = hosts.get(to);
+                    if (!cut && reached.alive) {
+                        reached.relay.receive(from, message);
                     }
                 });
     }
@@ -165,6 +172,7 @@
         final String name;
         final HostEntry entry;
         boolean alive = true;
+        private int life;
         int counted;
         long routesVersion;
         final Set<String> draining = new HashSet<>();
@@ -176,12 +184,32 @@
             this.entry = new HostEntry(name, zone, name + ":1");
         }
 
+        /** Starts the host again, knowing nothing. */
+        void restart() {
+            alive = false;
+            life++;
+            settings.clear();
+            draining.clear();
+            routesVersion = 0;
+            long downMilliseconds = 100;
+            time.schedule(
+                    downMilliseconds,
+                    () -> {
+                        alive = true;
+                        start();
+                    });
+        }
+
         private void start() {
             relay =
                     new FeedRelay(
-                            new RelayOptions(SERVER_SPAN, OPERATOR_SPAN, firstStart),
+                            new RelayOptions(
+                                    SERVER_SPAN,
+                                    OPERATOR_SPAN,
+                                    firstStart && time.monotonicMilliseconds() == 0,
+                                    seeds),
                             time,
-                            (delay, task) -> time.schedule(delay, () -> runIfAlive(task)),
+                            scheduler(),
                             event -> {},
                             count -> counted = count);
             ChangeFollower<ServerChange> servers =
@@ -231,15 +259,22 @@
                     .intervalMilliseconds(interval)
                     .waitMilliseconds(wait)
                     .clock(time)
-                    .scheduler((delay, task) -> time.schedule(delay, () -> runIfAlive(task)))
+                    .scheduler(scheduler())
                     .eventLog(event -> {})
                     .build();
         }
 
-        private void runIfAlive(Runnable task) {
-            if (alive) {
-                task.run();
-            }
+        /** Runs what is due unless the host has died or started again in between. */
+        private Scheduler scheduler() {
+            int own = life;
+            return (delay, task) ->
+                    time.schedule(
+                            delay,
+                            () -> {
+                                if (alive && life == own) {
+                                    task.run();
+                                }
+                            });
         }
 
         private void serversRead(Changes<ServerChange> changes) {
--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/GatewayRelayProcessTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/GatewayRelayProcessTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.siskinramp.adapter.Main;
 import org.siskinramp.standin.TestClient;
+import org.siskinramp.standin.store.StoreFault;
 import org.siskinramp.standin.store.StoreStandIn;
 import org.siskinramp.standin.upstream.GatewayWorld;
 import org.siskinramp.standin.upstream.UpstreamStandIn;
@@ -106,6 +107,27 @@
         }
     }
 
+    @Test
+    void aHostThatStartsWhileTheStoreIsSilentServesWhatASeedKnows() throws Exception {
+        awaitTold();
+        String seed = gateways.get(1).await("host_published", "peer_address");
+        store.setFault(StoreFault.SILENT);
+        gateways.get(0).kill();
+        Path settings = directory.resolve("edge-1.toml");
+        Files.writeString(
+                settings,
+                Files.readString(settings)
+                        .replace("[peers]\n", "[peers]\nseeds = [\"" + seed + "\"]\n"));
+        ProgramProcess again =
+                ProgramProcess.start(
+                        directory.resolve("edge-1-again.log"),
+                        Main.class,
+                        List.of(settings.toString()));
+        gateways.set(0, again);
+        callers.set(0, new TestClient("localhost:" + again.await("started", "caller_port")));
+        TestClient.await(() -> status(0, "/read/" + System.nanoTime()) == 200);
+    }
+
     @Test
     void hostsWhoseReadersDieServeANewRouteInTime() throws Exception {
         awaitTold();
