Split the relay: what is written for others, and when a host publishes itself, stand apart

NewsWriter writes messages, HostPublisher decides whether the entry is there already, Followers has a file of its own. A line tells when a seed is asked. No other change of behaviour.

--- a/library/src/main/java/org/siskinramp/relay/FeedRelay.java
+++ b/library/src/main/java/org/siskinramp/relay/FeedRelay.java
@@ -4,10 +4,8 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.IntConsumer;
 import org.siskinramp.fleet.ServerEntry;
-import org.siskinramp.follow.ChangeFollower;
 import org.siskinramp.follow.Changes;
 import org.siskinramp.follow.OperatorChange;
 import org.siskinramp.follow.ServerChange;
@@ -47,9 +45,6 @@
     /** The hosts are read again only if no reader tells how many there are. */
     private static final long HOSTS_SPAN_MILLISECONDS = 30_000;
 
-    /** About 30 kB in a frame. */
-    private static final int SERVERS_OF_A_MESSAGE = 200;
-
     private final Clock clock;
     private final Scheduler scheduler;
     private final EventLog eventLog;
@@ -63,11 +58,11 @@
     private final NewsParts parts = new NewsParts();
     private final SeedAsks seeds;
     private Optional<String> source = Optional.empty();
-    private final AtomicBoolean published = new AtomicBoolean();
     private volatile HostPublisher publisher;
     private volatile HostEntry self;
     private volatile PeerSender sender;
     private volatile Followers followers;
+    private volatile NewsWriter news;
     private volatile long fedUntil = Long.MIN_VALUE / 2;
     private volatile long regainedElsewhereAt = Long.MIN_VALUE / 2;
 
@@ -108,6 +103,7 @@
         self = Objects.requireNonNull(entry, "entry");
         sender = Objects.requireNonNull(peers, "peers");
         followers = Objects.requireNonNull(followed, "followed");
+        news = new NewsWriter(book, operatorBook, followed, clock);
         publisher = new HostPublisher(registry, entry, scheduler, eventLog);
         if (options.firstStart()) {
             startWithAll();
@@ -122,8 +118,7 @@
      * Lets the readers read first: no caller is there yet, and each call to the store is priced.
      */
     private void startWithAll() {
-        published.set(true);
-        publisher.publish();
+        publisher.publishOnce(false);
         long firstNews = now() + FIRST_LOOK_MILLISECONDS + FIRST_NEWS_MILLISECONDS;
         followers.servers().coverUntil(firstNews);
         followers.operator().coverUntil(firstNews);
@@ -137,31 +132,17 @@
      */
     public void hostsRead(Changes<HostChange> changes) {
         int count;
+        boolean isThere;
         synchronized (this) {
             table.follow(changes, now());
             count = table.count(self.name(), now());
+            isThere = table.holds(self);
         }
         hostCount.accept(count);
-        publishOnce();
+        publisher.publishOnce(isThere);
         askSource();
     }
 
-    /** A host that starts again mostly finds itself published. */
-    private void publishOnce() {
-        if (!published.compareAndSet(false, true)) {
-            return;
-        }
-        boolean known;
-        synchronized (this) {
-            known = table.holds(self);
-        }
-        if (known) {
-            publisher.renewLater();
-        } else {
-            publisher.publish();
-        }
-    }
-
     /**
      * Takes what this host read or was told of the backend servers, and tells those that asked.
      *
@@ -202,46 +183,21 @@
     }
 
     private void tell(String host) {
-        List<PeerMessage> messages = new ArrayList<>();
+        List<PeerMessage> messages;
         synchronized (this) {
             if (book.version() < 0 || operatorBook.version() == 0) {
                 return;
             }
-            if (subscribers.toldOperatorVersion(host) < operatorBook.version()) {
-                operatorBook.news(followers.operator().ageMilliseconds()).ifPresent(messages::add);
-            }
-            messages.addAll(newsFor(subscribers.toldVersion(host)));
+            messages =
+                    news.since(
+                            subscribers.toldVersion(host),
+                            subscribers.toldOperatorVersion(host),
+                            table.count(self.name(), now()));
             subscribers.told(host, book.version(), operatorBook.version());
         }
         messages.forEach(message -> sender.send(host, message));
     }
 
-    private List<FeedNews> newsFor(long known) {
-        long now = now();
-        ServerBook.News news = book.since(known, now);
-        List<FeedNews> messages = new ArrayList<>();
-        int from = 0;
-        do {
-            int to = Math.min(news.entries().size(), from + SERVERS_OF_A_MESSAGE);
-            messages.add(
-                    new FeedNews(
-                            known,
-                            book.version(),
-                            news.whole(),
-                            messages.size(),
-                            to < news.entries().size(),
-                            news.entries().subList(from, to),
-                            news.gone(),
-                            followers.servers().ageMilliseconds(),
-                            followers.sinceRegainedMilliseconds(),
-                            operatorBook.version(),
-                            followers.operator().ageMilliseconds(),
-                            table.count(self.name(), now)));
-            from = to;
-        } while (from < news.entries().size());
-        return messages;
-    }
-
     /**
      * Takes a message of another host. Messages that are not of the relay are passed over.
      *
@@ -365,7 +321,11 @@
         synchronized (this) {
             seed = seeds.next(self.address());
         }
-        seed.ifPresent(address -> ask(SeedName.of(address)));
+        seed.ifPresent(
+                address -> {
+                    eventLog.record(LogEvent.named("seed_asked").with("peer", address));
+                    ask(SeedName.of(address));
+                });
     }
 
     /** Whatever tells a host that knows nothing yet is welcome. */
@@ -430,22 +390,4 @@
     private long now() {
         return clock.monotonicMilliseconds();
     }
-
-    /**
-     * Holds the followers of a host's tables.
-     *
-     * @param servers follows the backend servers
-     * @param operator follows the operator's table
-     * @param hosts follows the hosts
-     */
-    public record Followers(
-            ChangeFollower<ServerChange> servers,
-            ChangeFollower<OperatorChange> operator,
-            ChangeFollower<HostChange> hosts) {
-
-        private long sinceRegainedMilliseconds() {
-            return Math.min(
-                    servers.sinceRegainedMilliseconds(), operator.sinceRegainedMilliseconds());
-        }
-    }
 }
--- a/library/src/main/java/org/siskinramp/relay/HostPublisher.java
+++ b/library/src/main/java/org/siskinramp/relay/HostPublisher.java
@@ -1,5 +1,6 @@
 package org.siskinramp.relay;
 
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.siskinramp.log.EventLog;
 import org.siskinramp.log.LogEvent;
 import org.siskinramp.result.Futures;
@@ -20,6 +21,7 @@
     private final HostEntry self;
     private final Scheduler scheduler;
     private final EventLog eventLog;
+    private final AtomicBoolean begun = new AtomicBoolean();
     private int failures;
 
     HostPublisher(HostRegistry registry, HostEntry self, Scheduler scheduler, EventLog eventLog) {
@@ -29,8 +31,19 @@
         this.eventLog = eventLog;
     }
 
-    /** Publishes this host at once. */
-    void publish() {
+    /** Publishes this host the first time that this is called, unless its entry is there. */
+    void publishOnce(boolean isThere) {
+        if (!begun.compareAndSet(false, true)) {
+            return;
+        }
+        if (isThere) {
+            renewLater();
+        } else {
+            publish();
+        }
+    }
+
+    private void publish() {
         Futures.whenDone(registry.publish(self), (done, failure) -> ended(failure));
     }
 
@@ -54,7 +67,7 @@
     }
 
     /** Publishes this host again before others forget it. */
-    void renewLater() {
+    private void renewLater() {
         scheduler.schedule(RENEWAL_MILLISECONDS, this::publish);
     }
 }
--- a/library/src/test/java/org/siskinramp/relay/RelayWorld.java
+++ b/library/src/test/java/org/siskinramp/relay/RelayWorld.java
@@ -233,7 +233,7 @@
                             relay::hostsRead,
                             () -> 10_000,
                             () -> 0);
-            FeedRelay.Followers followers = new FeedRelay.Followers(servers, operator, table);
+            Followers followers = new Followers(servers, operator, table);
             relay.start(
                     entry,
                     published ->
