Count nobody by a table of hosts that lacks this host

Ruled out: the messages between the hosts (they told what the readers counted), the load alone (seen under virtual time too). Change: a table that lacks the host itself counts nobody, here and in what is told; the host looks again 2.5 s after it published itself.

--- a/library/src/main/java/org/siskinramp/peer/FeedNews.java
+++ b/library/src/main/java/org/siskinramp/peer/FeedNews.java
@@ -17,7 +17,7 @@
  * @param regainedMilliseconds how long ago the sender reached the store again after a failure
  * @param operatorVersion the version of the last change by an operator
  * @param operatorAgeMilliseconds how long ago the operator's table was read
- * @param hosts how many hosts the sender counts
+ * @param hosts how many hosts the sender counts, 0 if it does not know yet
  */
 public record FeedNews(
         long sinceVersion,
--- a/library/src/main/java/org/siskinramp/relay/FeedRelay.java
+++ b/library/src/main/java/org/siskinramp/relay/FeedRelay.java
@@ -45,6 +45,8 @@
     /** The hosts are read again only if no reader tells how many there are. */
     private static final long HOSTS_SPAN_MILLISECONDS = 30_000;
 
+    private static final int UNCOUNTED = 0;
+
     private final Clock clock;
     private final Scheduler scheduler;
     private final EventLog eventLog;
@@ -118,7 +120,7 @@
      * Lets the readers read first: no caller is there yet, and each call to the store is priced.
      */
     private void startWithAll() {
-        publisher.publishOnce(false);
+        boolean unused = publisher.publishOnce(false);
         long firstNews = now() + FIRST_LOOK_MILLISECONDS + FIRST_NEWS_MILLISECONDS;
         followers.servers().coverUntil(firstNews);
         followers.operator().coverUntil(firstNews);
@@ -135,14 +137,27 @@
         boolean isThere;
         synchronized (this) {
             table.follow(changes, now());
-            count = table.count(self.name(), now());
+            count = countHosts();
             isThere = table.holds(self);
         }
-        hostCount.accept(count);
-        publisher.publishOnce(isThere);
+        follow(count);
+        if (publisher.publishOnce(isThere)) {
+            scheduler.schedule(FIRST_LOOK_MILLISECONDS, followers.hosts()::readNow);
+        }
         askSource();
     }
 
+    /** A table that lacks this host may lack others that start now: nobody is counted by it. */
+    private int countHosts() {
+        return table.holds(self) ? table.count(self.name(), now()) : UNCOUNTED;
+    }
+
+    private void follow(int count) {
+        if (count != UNCOUNTED) {
+            hostCount.accept(count);
+        }
+    }
+
     /**
      * Takes what this host read or was told of the backend servers, and tells those that asked.
      *
@@ -192,7 +207,7 @@
                     news.since(
                             subscribers.toldVersion(host),
                             subscribers.toldOperatorVersion(host),
-                            table.count(self.name(), now()));
+                            countHosts());
             subscribers.told(host, book.version(), operatorBook.version());
         }
         messages.forEach(message -> sender.send(host, message));
@@ -282,7 +297,7 @@
         if (followers.operator().version() < news.operatorVersion()) {
             followers.operator().readNow();
         }
-        hostCount.accept(news.hosts());
+        follow(news.hosts());
     }
 
     private void tick() {
--- a/library/src/main/java/org/siskinramp/relay/HostPublisher.java
+++ b/library/src/main/java/org/siskinramp/relay/HostPublisher.java
@@ -31,16 +31,21 @@
         this.eventLog = eventLog;
     }
 
-    /** Publishes this host the first time that this is called, unless its entry is there. */
-    void publishOnce(boolean isThere) {
+    /**
+     * Publishes this host the first time that this is called, unless its entry is there.
+     *
+     * @return true if it is published now
+     */
+    boolean publishOnce(boolean isThere) {
         if (!begun.compareAndSet(false, true)) {
-            return;
+            return false;
         }
         if (isThere) {
             renewLater();
-        } else {
-            publish();
+            return false;
         }
+        publish();
+        return true;
     }
 
     private void publish() {
