--- a/library/src/main/java/org/siskinramp/relay/FeedRelay.java
+++ b/library/src/main/java/org/siskinramp/relay/FeedRelay.java
@@ -26,7 +26,8 @@
  * hosts, and a host whose reader falls silent reads for itself before its sight is too old.
  *
  * <p>Only a host that reads for itself tells others, so what is told is never older than one read
- * and one message. Lock order: that of a follower, then that of the relay.
+ * and one message. A host that knows nothing yet is told by any other, with the age of what that
+ * one knows. Lock order: that of a follower, then that of the relay.
  */
 public final class FeedRelay {
 
