Log under which requests backend servers end, and each decision on a repeat

A crash is named only on proof that the server ended: two refused connections 0.1 s apart, another server at the address, a new start or the end of its entry, within 10 s of the break; a server that answers a probe afterwards was not ended. What ran to its end elsewhere within 10 s before is excused. Each repeat logs whether the budget allowed it and what it counted. No decision changes.

--- a/library/src/main/java/org/siskinramp/attempt/AttemptFailure.java
+++ b/library/src/main/java/org/siskinramp/attempt/AttemptFailure.java
@@ -67,6 +67,15 @@
         return notRun;
     }
 
+    /**
+     * Tells whether the server cut the connection of a request that it had got.
+     *
+     * @return true if the server may have ended
+     */
+    public boolean isBreak() {
+        return this == CONNECTION_BROKEN || this == ANSWER_INCOMPLETE;
+    }
+
     /**
      * Tells whether the request reached the server, as far as is known.
      *
--- a/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
+++ b/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
@@ -24,13 +24,20 @@
     private final GatewayEnvironment environment;
     private final Fleet fleet;
     private final Locked locked;
+    private final CrashWatch crashes;
     private final EndListener listener;
     private final Map<Long, Open> open = new HashMap<>();
 
-    AttemptDesk(GatewayEnvironment environment, Fleet fleet, Locked locked, EndListener listener) {
+    AttemptDesk(
+            GatewayEnvironment environment,
+            Fleet fleet,
+            Locked locked,
+            CrashWatch crashes,
+            EndListener listener) {
         this.environment = environment;
         this.fleet = fleet;
         this.locked = locked;
+        this.crashes = crashes;
         this.listener = listener;
     }
 
@@ -118,8 +125,9 @@
             attempt.server().succeed();
         }
         attempt.run().endAttempt(attempt.number(), true, true);
+        crashes.completed(attempt.run());
         environment.measures().took(RequestTime.AT_SERVER, idempotent, now - attempt.sentAt());
-        logEnd(attempt, "answered_" + status, now);
+        environment.eventLog().record(end(attempt, "answered_" + status, now));
         listener.ended(attempt, answer, AttemptVerdict.ofAnswer(status, idempotent), effects);
     }
 
@@ -134,7 +142,16 @@
             attempt.server().fail(now);
         }
         attempt.run().endAttempt(attempt.number(), kind.isArrival(), !kind.isNotRun());
-        logEnd(attempt, kind.word(), now);
+        environment
+                .eventLog()
+                .record(
+                        end(attempt, kind.word(), now)
+                                .with("content", attempt.run().request().contentHash()));
+        if (kind.isBreak()) {
+            crashes.broke(attempt, effects);
+        } else {
+            crashes.failed(attempt.server(), kind, effects);
+        }
         listener.ended(attempt, null, AttemptVerdict.ofFailure(kind, idempotent), effects);
     }
 
@@ -162,15 +179,12 @@
                                 .with("rounds", run.rounds()));
     }
 
-    private void logEnd(Open attempt, String outcome, long now) {
-        environment
-                .eventLog()
-                .record(
-                        LogEvent.named("attempt_end")
-                                .with("request", attempt.run().request().key().requestId())
-                                .with("backend_server", attempt.server().server().name())
-                                .with("attempt", attempt.number())
-                                .with("outcome", outcome)
-                                .with("took_ms", now - attempt.sentAt()));
+    private static LogEvent end(Open attempt, String outcome, long now) {
+        return LogEvent.named("attempt_end")
+                .with("request", attempt.run().request().key().requestId())
+                .with("backend_server", attempt.server().server().name())
+                .with("attempt", attempt.number())
+                .with("outcome", outcome)
+                .with("took_ms", now - attempt.sentAt());
     }
 }
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/gateway/CrashWatch.java
@@ -0,0 +1,217 @@
+package org.siskinramp.gateway;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.siskinramp.attempt.AttemptException;
+import org.siskinramp.attempt.AttemptFailure;
+import org.siskinramp.fleet.KnownServer;
+import org.siskinramp.log.Counter;
+import org.siskinramp.log.LogEvent;
+import org.siskinramp.quarantine.Crash;
+import org.siskinramp.result.Futures;
+import org.siskinramp.routing.Effects;
+
+/**
+ * Finds out which backend servers ended while they ran a request. A broken connection alone proves
+ * nothing, since a server that lives may cut one: the server has to be gone afterwards. Answers
+ * requests that end each server that runs them, among many that stand beside them by chance. It is
+ * guarded by the lock of the gateway.
+ */
+final class CrashWatch {
+
+    /** The entry of a server that ended lapses after three heartbeats of 1.5 s, and is read. */
+    private static final long DOUBT_MILLISECONDS = 10_000;
+
+    /** A process that ends cuts its connections some milliseconds before its address is free. */
+    private static final long FIRST_PROBE_MILLISECONDS = 20;
+
+    /** Far below the seconds for which a server that ended is away. */
+    private static final long SECOND_PROBE_MILLISECONDS = 200;
+
+    /** A full server that resets surplus connections has accepted others by then. */
+    private static final long UNREACHABLE_MILLISECONDS = 100;
+
+    /** Content that any server ran to its end this long before a crash did not cause it. */
+    private static final long INNOCENCE_MILLISECONDS = 10_000;
+
+    private static final int SERVERS_DOUBTED_AT_MOST = 200;
+    private static final int DOUBTS_OF_A_SERVER_AT_MOST = 50;
+
+    /** Bounds the memory of completions, about 200 kB. */
+    private static final int COMPLETIONS_KEPT = 2_000;
+
+    private final GatewayEnvironment environment;
+    private final Locked locked;
+    private final Map<String, Doubts> doubtsByServer = new LinkedHashMap<>();
+    private final Map<String, Long> completions = new LinkedHashMap<>();
+
+    CrashWatch(GatewayEnvironment environment, Locked locked) {
+        this.environment = environment;
+        this.locked = locked;
+    }
+
+    /** Notes that the connection broke on which a server had got a request. */
+    void broke(AttemptDesk.Open attempt, Effects effects) {
+        long now = now();
+        KnownServer server = attempt.server();
+        if (!server.isPresent(now)) {
+            return;
+        }
+        Doubts doubts = doubtsByServer.get(server.server().name());
+        boolean probed = doubts != null && now - doubts.begunAt < SECOND_PROBE_MILLISECONDS;
+        if (!probed) {
+            doubts = doubts == null ? new Doubts() : doubts;
+            doubts.begunAt = now;
+            doubtsByServer.put(server.server().name(), doubts);
+            dropOldest(doubtsByServer, SERVERS_DOUBTED_AT_MOST);
+            probeAfter(FIRST_PROBE_MILLISECONDS, server, effects);
+            probeAfter(SECOND_PROBE_MILLISECONDS, server, effects);
+        }
+        if (doubts.list.size() < DOUBTS_OF_A_SERVER_AT_MOST) {
+            doubts.list.add(new Doubt(crashOf(attempt), now));
+        }
+    }
+
+    private static Crash crashOf(AttemptDesk.Open attempt) {
+        return new Crash(
+                attempt.run().request().contentHash(),
+                attempt.run().route().name(),
+                attempt.server().server().name(),
+                attempt.server().entry().bornMilliseconds());
+    }
+
+    private void probeAfter(long milliseconds, KnownServer server, Effects effects) {
+        effects.add(
+                () ->
+                        environment
+                                .scheduler()
+                                .schedule(
+                                        milliseconds,
+                                        () -> locked.run(held -> probe(server, held))));
+    }
+
+    private void probe(KnownServer server, Effects effects) {
+        if (!doubtsByServer.containsKey(server.server().name())) {
+            return;
+        }
+        long sentAt = now();
+        environment.counters().add(Counter.PROBES);
+        effects.add(
+                () ->
+                        Futures.whenDone(
+                                environment.backendServerLink().probe(server.server()),
+                                (report, failure) ->
+                                        locked.run(held -> probed(server, sentAt, failure, held))));
+    }
+
+    private void probed(KnownServer server, long sentAt, Throwable failure, Effects effects) {
+        if (failure == null) {
+            lives(server, sentAt);
+        } else {
+            failed(server, AttemptException.from(failure).failure(), effects);
+        }
+    }
+
+    private void lives(KnownServer server, long sinceMilliseconds) {
+        Doubts doubts = doubtsByServer.get(server.server().name());
+        if (doubts != null) {
+            doubts.list.removeIf(doubt -> doubt.brokenAt <= sinceMilliseconds);
+            doubts.unreachableAt = Doubts.NEVER;
+            if (doubts.list.isEmpty()) {
+                doubtsByServer.remove(server.server().name());
+            }
+        }
+    }
+
+    /** Takes the failure of any attempt or probe as a sign of what became of its server. */
+    void failed(KnownServer server, AttemptFailure failure, Effects effects) {
+        Doubts doubts = doubtsByServer.get(server.server().name());
+        if (doubts == null) {
+            return;
+        }
+        if (failure == AttemptFailure.WRONG_SERVER) {
+            ended(server.server().name(), "other_server", effects);
+        } else if (failure == AttemptFailure.CONNECTION_REFUSED) {
+            if (doubts.unreachableAt == Doubts.NEVER) {
+                doubts.unreachableAt = now();
+            } else if (now() - doubts.unreachableAt >= UNREACHABLE_MILLISECONDS) {
+                ended(server.server().name(), "refused", effects);
+            }
+        }
+    }
+
+    /** Notes that a server has ended; the requests under which its connections broke are named. */
+    void ended(String server, String proof, Effects effects) {
+        Doubts doubts = doubtsByServer.remove(server);
+        if (doubts == null) {
+            return;
+        }
+        long now = now();
+        for (Doubt doubt : doubts.list) {
+            if (now - doubt.brokenAt <= DOUBT_MILLISECONDS) {
+                note(doubt, proof, now);
+            }
+        }
+    }
+
+    private void note(Doubt doubt, String proof, long now) {
+        boolean innocent = hasCompletedSince(doubt.crash.content(), doubt.brokenAt);
+        environment.counters().add(innocent ? Counter.CRASHES_EXCUSED : Counter.CRASHES);
+        environment
+                .eventLog()
+                .record(
+                        LogEvent.named(innocent ? "crash_excused" : "crash")
+                                .with("content", doubt.crash.content())
+                                .with("route", doubt.crash.route())
+                                .with("backend_server", doubt.crash.backendServer())
+                                .with("born", doubt.crash.bornMilliseconds())
+                                .with("proof", proof)
+                                .with("after_ms", now - doubt.brokenAt));
+    }
+
+    private boolean hasCompletedSince(String content, long brokenAt) {
+        Long completedAt = completions.get(content);
+        return completedAt != null && completedAt >= brokenAt - INNOCENCE_MILLISECONDS;
+    }
+
+    /** Notes that a server ran a request to its end. */
+    void completed(GatewayRun run) {
+        String content = run.request().contentHash();
+        completions.remove(content);
+        completions.put(content, now());
+        dropOldest(completions, COMPLETIONS_KEPT);
+    }
+
+    /** Forgets the doubts that nothing proved in time. */
+    void sweep() {
+        long now = now();
+        doubtsByServer.values().removeIf(doubts -> now - doubts.begunAt > DOUBT_MILLISECONDS);
+    }
+
+    private static void dropOldest(Map<String, ?> entries, int limit) {
+        Iterator<String> oldest = entries.keySet().iterator();
+        while (entries.size() > limit) {
+            oldest.next();
+            oldest.remove();
+        }
+    }
+
+    private long now() {
+        return environment.clock().monotonicMilliseconds();
+    }
+
+    private record Doubt(Crash crash, long brokenAt) {}
+
+    /** Holds the requests under which the connections of one server broke. */
+    private static final class Doubts {
+
+        private static final long NEVER = -1;
+
+        private final List<Doubt> list = new ArrayList<>();
+        private long begunAt;
+        private long unreachableAt = NEVER;
+    }
+}
--- a/library/src/main/java/org/siskinramp/gateway/Gateway.java
+++ b/library/src/main/java/org/siskinramp/gateway/Gateway.java
@@ -48,6 +48,7 @@
     private final Map<String, ServicePool> pools = new HashMap<>();
     private volatile RouteTable routes = NO_ROUTES;
     private final HostCount hosts;
+    private final CrashWatch crashes;
     private int inProgress;
 
     /**
@@ -61,6 +62,7 @@
         this.environment = environment;
         this.options = options;
         this.hosts = new HostCount(hosts);
+        this.crashes = new CrashWatch(environment, this::locked);
     }
 
     /**
@@ -126,6 +128,9 @@
     public void put(ServerEntry entry) {
         locked(
                 effects -> {
+                    if (isNewStart(entry)) {
+                        crashes.ended(entry.server().name(), "new_start", effects);
+                    }
                     if (fleet.put(entry, now())) {
                         logEntry(entry);
                         pumpAll(effects);
@@ -133,6 +138,12 @@
                 });
     }
 
+    private boolean isNewStart(ServerEntry entry) {
+        return fleet.find(entry.server().name())
+                .filter(known -> entry.bornMilliseconds() > known.entry().bornMilliseconds())
+                .isPresent();
+    }
+
     private void logEntry(ServerEntry entry) {
         record(
                 LogEvent.named("server")
@@ -156,6 +167,9 @@
     public void remove(String name, long keptMilliseconds) {
         locked(
                 effects -> {
+                    if (keptMilliseconds == 0) {
+                        crashes.ended(name, "entry_gone", effects);
+                    }
                     if (fleet.remove(name, now() + keptMilliseconds)) {
                         record(
                                 LogEvent.named("server_gone")
@@ -254,7 +268,8 @@
                                 fleet,
                                 this::locked,
                                 this::routes,
-                                hosts));
+                                hosts,
+                                crashes));
     }
 
     /** Does what is due without another event. */
@@ -262,6 +277,7 @@
         locked(
                 effects -> {
                     fleet.sweep(now());
+                    crashes.sweep();
                     pumpAll(effects);
                 });
     }
--- a/library/src/main/java/org/siskinramp/gateway/RetryBudget.java
+++ b/library/src/main/java/org/siskinramp/gateway/RetryBudget.java
@@ -38,8 +38,19 @@
      * @param slack how many repeats this host may send beyond the share
      */
     boolean allows(long now, double slack) {
+        return repeats(now) + 1 <= share * requests(now) + slack;
+    }
+
+    /** Returns the requests that count now. */
+    int requests(long now) {
+        bucket(now);
+        return Arrays.stream(requests).sum();
+    }
+
+    /** Returns the repeats that count now. */
+    int repeats(long now) {
         bucket(now);
-        return Arrays.stream(repeats).sum() + 1 <= share * Arrays.stream(requests).sum() + slack;
+        return Arrays.stream(repeats).sum();
     }
 
     private int bucket(long now) {
--- a/library/src/main/java/org/siskinramp/gateway/SearchDesk.java
+++ b/library/src/main/java/org/siskinramp/gateway/SearchDesk.java
@@ -75,6 +75,7 @@
     private final GatewayEnvironment environment;
     private final GatewayOptions options;
     private final Locked locked;
+    private final CrashWatch crashes;
     private final TokenBucket probeBudget = new TokenBucket(PROBES_KEPT);
     private int searches;
 
@@ -82,11 +83,13 @@
             ServicePool pool,
             GatewayEnvironment environment,
             GatewayOptions options,
-            Locked locked) {
+            Locked locked,
+            CrashWatch crashes) {
         this.pool = pool;
         this.environment = environment;
         this.options = options;
         this.locked = locked;
+        this.crashes = crashes;
     }
 
     /** Lets a new request pay for its probes, so that no host has to know how many others probe. */
@@ -191,6 +194,7 @@
             AttemptException cause = AttemptException.from(failure);
             server.see(cause.loadReport(), now);
             server.suspect(now);
+            crashes.failed(server, cause.failure(), effects);
         }
         if (!round.concluded && (round.open == 0 || hasGood(round, server))) {
             conclude(round, effects);
--- a/library/src/main/java/org/siskinramp/gateway/ServicePool.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServicePool.java
@@ -12,6 +12,7 @@
 import org.siskinramp.fleet.KnownServer;
 import org.siskinramp.health.LatencyWindow;
 import org.siskinramp.log.Counter;
+import org.siskinramp.log.LogEvent;
 import org.siskinramp.queue.WaitingQueue;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.route.RouteTable;
@@ -64,7 +65,8 @@
             Fleet fleet,
             Locked locked,
             Supplier<RouteTable> routes,
-            HostCount hosts) {
+            HostCount hosts,
+            CrashWatch crashes) {
         this.service = service;
         this.environment = environment;
         this.options = options;
@@ -72,11 +74,11 @@
         this.routes = routes;
         this.hosts = hosts;
         scope = new ServerScope(service, environment, options, fleet, newColdRate());
-        desk = new AttemptDesk(environment, fleet, locked, this);
+        desk = new AttemptDesk(environment, fleet, locked, crashes, this);
         ends = new RunEnds(environment);
         placement = new PlacementChoice(environment.availabilityZone(), limit);
         retryBudget = new RetryBudget(options.retryShare(), options.retryWindowMilliseconds());
-        searches = new SearchDesk(this, environment, options, locked);
+        searches = new SearchDesk(this, environment, options, locked, crashes);
     }
 
     PlacementChoice placement() {
@@ -336,16 +338,34 @@
             return false;
         }
         if (run.arrivals() > 0) {
-            if (!retryBudget.allows(now, hosts.partOf(options.retrySlack()))) {
+            double slack = hosts.partOf(options.retrySlack());
+            boolean allowed = retryBudget.allows(now, slack);
+            logRepeat(run, allowed, slack, now);
+            environment.counters().add(allowed ? Counter.RETRIES : Counter.RETRIES_DENIED);
+            if (!allowed) {
                 return false;
             }
             retryBudget.countRepeat(now);
-            environment.counters().add(Counter.RETRIES);
         }
         enqueue(run, latestStart, effects);
         return true;
     }
 
+    private void logRepeat(GatewayRun run, boolean allowed, double slack, long now) {
+        environment
+                .eventLog()
+                .record(
+                        LogEvent.named("repeat")
+                                .with("request", run.request().key().requestId())
+                                .with("service", service)
+                                .with("content", run.request().contentHash())
+                                .with("arrivals", run.arrivals())
+                                .with("allowed", allowed)
+                                .with("repeats", retryBudget.repeats(now))
+                                .with("requests", retryBudget.requests(now))
+                                .with("slack", slack));
+    }
+
     /** Uses the room that the end of an attempt left, without asking the server again. */
     private void offer(KnownServer server, Effects effects) {
         long now = now();
--- a/library/src/main/java/org/siskinramp/log/Counter.java
+++ b/library/src/main/java/org/siskinramp/log/Counter.java
@@ -22,6 +22,12 @@
     RETRIES,
     /** Attempts sent while another attempt of the request was in progress. */
     HEDGES,
+    /** Second attempts that the budget did not allow. */
+    RETRIES_DENIED,
+    /** Requests under which a backend server ended. */
+    CRASHES,
+    /** Requests under which a backend server ended, and which others had run to their end. */
+    CRASHES_EXCUSED,
     /** Requests that waited for a slot. */
     WAITS,
     /** Slots asked for from other hosts. */
--- a/library/src/test/java/org/siskinramp/gateway/ModelServers.java
+++ b/library/src/test/java/org/siskinramp/gateway/ModelServers.java
@@ -112,7 +112,7 @@
         time.schedule(
                 2 * WAY_MILLISECONDS,
                 () -> {
-                    if (model.behaviour == Behaviour.REFUSE_CONNECTIONS) {
+                    if (model.down || model.behaviour == Behaviour.REFUSE_CONNECTIONS) {
                         report.completeExceptionally(
                                 model.failure(AttemptFailure.CONNECTION_REFUSED));
                     } else {
@@ -138,6 +138,11 @@
         private double kneeFactor = 1;
         private long coldUntil;
         private boolean leaving;
+        private final Map<Long, CompletableFuture<AttemptAnswer>> inProgress =
+                new LinkedHashMap<>();
+        private String fatalContent = "none";
+        private int starts = 1;
+        private boolean down;
         private Behaviour behaviour = Behaviour.ANSWER;
 
         private Model(String name, String zone, int slots, long workMilliseconds) {
@@ -152,7 +157,11 @@
                     new BackendServer(
                             name, "s", "10.0.0.1", zone, "10.0.0.1:80", slots, 1, ServiceState.IN);
             return new ServerEntry(
-                    server, leaving, Math.max(0, coldUntil - time.monotonicMilliseconds()), 1, 1);
+                    server,
+                    leaving,
+                    Math.max(0, coldUntil - time.monotonicMilliseconds()),
+                    starts,
+                    1);
         }
 
         Model behave(Behaviour value) {
@@ -180,10 +189,44 @@
             return this;
         }
 
+        /** Lets it end under each request of some content. */
+        Model endOn(String content) {
+            fatalContent = content;
+            return this;
+        }
+
+        /** Ends it: connections break and none is accepted until it starts again. */
+        void end() {
+            down = true;
+            running = 0;
+            waiting.clear();
+            List<CompletableFuture<AttemptAnswer>> broken = List.copyOf(inProgress.values());
+            inProgress.clear();
+            broken.forEach(
+                    answer ->
+                            answer.completeExceptionally(
+                                    failure(AttemptFailure.CONNECTION_BROKEN)));
+        }
+
+        /** Starts it again under the same name. */
+        void startAgain() {
+            down = false;
+            starts++;
+        }
+
+        boolean isDown() {
+            return down;
+        }
+
         int runs() {
             return runs;
         }
 
+        /** Counts the requests that arrived after a time, rejected ones not included. */
+        int arrivalsAfter(long milliseconds) {
+            return (int) arrivals.stream().filter(at -> at > milliseconds).count();
+        }
+
         int greatestOccupied() {
             return greatestOccupied;
         }
@@ -220,7 +263,7 @@
         private void arrive(Attempt attempt, CompletableFuture<AttemptAnswer> answer) {
             if (!attempt.isPermitted()) {
                 answer.completeExceptionally(failure(AttemptFailure.NOT_PERMITTED));
-            } else if (behaviour == Behaviour.REFUSE_CONNECTIONS) {
+            } else if (down || behaviour == Behaviour.REFUSE_CONNECTIONS) {
                 answer.completeExceptionally(failure(AttemptFailure.CONNECTION_REFUSED));
             } else if (behaviour == Behaviour.SHED
                     || (running >= slots && waiting.size() >= QUEUE)) {
@@ -228,25 +271,32 @@
                         new AttemptException(AttemptFailure.SHED, report(), name));
             } else {
                 arrivals.add(time.monotonicMilliseconds());
-                if (running < slots) {
-                    run(answer);
+                inProgress.put(attempt.number(), answer);
+                if (attempt.request().contentHash().equals(fatalContent)) {
+                    runs++;
+                    end();
+                } else if (running < slots) {
+                    run(attempt.number(), answer);
                 } else {
-                    waiting.add(() -> run(answer));
+                    waiting.add(() -> run(attempt.number(), answer));
                 }
                 greatestOccupied = Math.max(greatestOccupied, running + waiting.size());
             }
         }
 
-        private void run(CompletableFuture<AttemptAnswer> answer) {
+        private void run(long attempt, CompletableFuture<AttemptAnswer> answer) {
             running++;
             runs++;
             double spread = 0.7 + 0.6 * random.nextDouble();
             double knee = running > 0.8 * slots ? kneeFactor : 1;
             long takes = Math.round(workMilliseconds * spread * knee * pace / USUAL_PACE);
-            time.schedule(takes, () -> finish(answer));
+            time.schedule(takes, () -> finish(attempt, answer));
         }
 
-        private void finish(CompletableFuture<AttemptAnswer> answer) {
+        private void finish(long attempt, CompletableFuture<AttemptAnswer> answer) {
+            if (inProgress.remove(attempt) == null) {
+                return;
+            }
             running--;
             if (!waiting.isEmpty()) {
                 waiting.removeFirst().run();
