Add tests that fail: a request that ends servers goes on to reach others

Backend servers of the stand-in end under requests of a path and start again, under another identity or the same.

--- a/library/src/test/java/org/siskinramp/gateway/ModelServers.java
+++ b/library/src/test/java/org/siskinramp/gateway/ModelServers.java
@@ -152,6 +152,10 @@
             this.workMilliseconds = workMilliseconds;
         }
 
+        String name() {
+            return name;
+        }
+
         ServerEntry entry() {
             BackendServer server =
                     new BackendServer(
--- a/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamStandIn.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamStandIn.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.siskinramp.request.Header;
 import org.siskinramp.standin.WorkerScheduler;
 import org.siskinramp.standin.http.HttpExchange;
@@ -25,9 +26,14 @@
     private static final long ABANDONED_POLL_MILLISECONDS = 20;
     private static final String REQUEST_ID = "X-Siskinramp-Request-Id";
     private static final String HEALTH_PATH = "/health";
+
+    /** The store takes an entry as gone after three heartbeats of silence. */
+    private static final long LAPSE_MILLISECONDS = 3 * HEARTBEAT_MILLISECONDS;
+
     private static final AtomicLong BORN = new AtomicLong(System.currentTimeMillis());
 
-    private final String identity;
+    private final String firstIdentity;
+    private volatile String identity;
     private final String service;
     private final String zone;
     private final int slots;
@@ -39,7 +45,13 @@
     private final AtomicInteger abandoned = new AtomicInteger();
     private final AtomicLong sequence = new AtomicLong();
     private final Map<String, Integer> runs = new ConcurrentHashMap<>();
-    private final long born = BORN.incrementAndGet();
+    private final AtomicInteger ends = new AtomicInteger();
+    private volatile long born = BORN.incrementAndGet();
+    private volatile Consumer<String> crashListener = requestId -> {};
+    private volatile String crashPrefix = "";
+    private volatile long awayMilliseconds;
+    private volatile boolean down;
+    private volatile boolean keepsIdentity;
     private volatile UpstreamFault fault = UpstreamFault.NONE;
     private volatile String state = "ready";
     private volatile long coldMilliseconds;
@@ -63,6 +75,7 @@
             int slots,
             long workMilliseconds,
             StoreStandIn store) {
+        this.firstIdentity = identity;
         this.identity = identity;
         this.service = service;
         this.zone = zone;
@@ -75,12 +88,73 @@
     }
 
     private void heartbeat() {
-        if (!closed) {
+        if (!closed && !down) {
             publish();
+        }
+        if (!closed) {
             workers.schedule(HEARTBEAT_MILLISECONDS, this::heartbeat);
         }
     }
 
+    /**
+     * Lets it end under each request of some paths, as a process that crashes: all connections are
+     * cut and none is accepted. It starts again under another identity.
+     *
+     * @param pathPrefix what those paths begin with
+     * @param milliseconds how long it is away
+     * @param listener is told the identifier of each such request
+     */
+    public void endOn(String pathPrefix, long milliseconds, Consumer<String> listener) {
+        awayMilliseconds = milliseconds;
+        crashListener = listener;
+        crashPrefix = pathPrefix;
+    }
+
+    /** Lets it start again under the identity that it had. */
+    public void keepIdentity() {
+        keepsIdentity = true;
+    }
+
+    private synchronized void end() {
+        if (down || closed) {
+            return;
+        }
+        down = true;
+        ends.incrementAndGet();
+        String ended = identity;
+        workers.schedule(0, http::refuse);
+        workers.schedule(LAPSE_MILLISECONDS, () -> lapse(ended));
+        workers.schedule(awayMilliseconds, this::startAgain);
+    }
+
+    private synchronized void lapse(String ended) {
+        if (down || !identity.equals(ended)) {
+            store.remove("servers", ended);
+        }
+    }
+
+    private synchronized void startAgain() {
+        if (closed) {
+            return;
+        }
+        identity = keepsIdentity ? firstIdentity : firstIdentity + "-" + ends.get();
+        born = BORN.incrementAndGet();
+        sequence.set(0);
+        running.set(0);
+        http.accept();
+        down = false;
+        publish();
+    }
+
+    /**
+     * Counts how often it ended.
+     *
+     * @return the ends
+     */
+    public int ends() {
+        return ends.get();
+    }
+
     private void publish() {
         Map<String, Object> entry =
                 Map.of(
@@ -181,12 +255,19 @@
             health(exchange);
             return;
         }
+        if (down) {
+            exchange.drop();
+            return;
+        }
         String target = exchange.header("X-Siskinramp-Target-Instance").orElse(identity);
         if (!target.equals(identity)) {
             exchange.answer(
                     MISDIRECTED,
                     List.of(new Header("X-Siskinramp-Instance-Id", identity)),
                     new byte[0]);
+        } else if (!crashPrefix.isEmpty() && exchange.path().startsWith(crashPrefix)) {
+            crashListener.accept(exchange.header(REQUEST_ID).orElse(""));
+            end();
         } else if (fault == UpstreamFault.SHED || running.incrementAndGet() > slots) {
             if (fault != UpstreamFault.SHED) {
                 running.decrementAndGet();
@@ -197,7 +278,8 @@
                     new byte[0]);
         } else {
             runs.merge(exchange.header(REQUEST_ID).orElse(""), 1, Integer::sum);
-            workers.schedule(workMilliseconds, () -> finish(exchange));
+            int life = ends.get();
+            workers.schedule(workMilliseconds, () -> finish(exchange, life));
             workers.schedule(ABANDONED_POLL_MILLISECONDS, () -> watch(exchange, 0));
         }
     }
@@ -224,7 +306,11 @@
         }
     }
 
-    private void finish(HttpExchange exchange) {
+    private void finish(HttpExchange exchange, int life) {
+        if (down || life != ends.get()) {
+            exchange.drop();
+            return;
+        }
         running.decrementAndGet();
         String requestId = exchange.header(REQUEST_ID).orElse("");
         byte[] body =
--- /dev/null
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/CrashingRequestProcessTest.java
@@ -0,0 +1,213 @@
+package org.siskinramp.standin.cluster;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.siskinramp.adapter.Main;
+import org.siskinramp.standin.TestClient;
+import org.siskinramp.standin.store.StoreFault;
+import org.siskinramp.standin.store.StoreStandIn;
+import org.siskinramp.standin.upstream.GatewayWorld;
+import org.siskinramp.standin.upstream.UpstreamStandIn;
+
+/** A request that ends every backend server that runs it comes again and again, at all hosts. */
+class CrashingRequestProcessTest {
+
+    private static final int HOSTS = 4;
+    private static final int SERVERS = 12;
+    private static final int SLOTS = 4;
+    private static final long WORK_MILLISECONDS = 100;
+    private static final long AWAY_MILLISECONDS = 2_000;
+    private static final String CRASHING = "/read/crash";
+    private static final long GAP_MILLISECONDS = 350;
+
+    /** The bound of the operators: hosts know within this time which request ended three. */
+    private static final long CONTACT_MILLISECONDS = 3_000;
+
+    private static final int ENDS = 3;
+    private static final int REFUSED = 503;
+
+    /** The bound of the operators for arrivals after that time, over all hosts. */
+    private static final int LATER_ARRIVALS = 3;
+
+    @TempDir private Path directory;
+
+    private final StoreStandIn store = StoreStandIn.start("127.0.0.1:0");
+    private final List<UpstreamStandIn> servers = new ArrayList<>();
+    private final List<ProgramProcess> gateways = new ArrayList<>();
+    private final List<TestClient> callers = new ArrayList<>();
+    private final List<Long> arrivals = new CopyOnWriteArrayList<>();
+    private final Set<String> arrived = ConcurrentHashMap.newKeySet();
+    private final Map<String, CompletableFuture<Integer>> crashing = new LinkedHashMap<>();
+    private final List<CompletableFuture<Integer>> answers = new ArrayList<>();
+    private int requests;
+
+    @BeforeEach
+    void start() throws Exception {
+        store.put("op", "config", GatewayWorld.configuration(1));
+        for (int number = 0; number < SERVERS; number++) {
+            UpstreamStandIn server =
+                    new UpstreamStandIn(
+                            "i-" + number,
+                            "desk",
+                            SoakWorld.zone(number),
+                            SLOTS,
+                            WORK_MILLISECONDS,
+                            store);
+            server.endOn(
+                    CRASHING,
+                    AWAY_MILLISECONDS,
+                    requestId -> {
+                        arrived.add(requestId);
+                        arrivals.add(nowMilliseconds());
+                    });
+            servers.add(server);
+        }
+        for (int host = 0; host < HOSTS; host++) {
+            gateways.add(launch(host));
+            callers.add(null);
+        }
+        for (int host = 0; host < HOSTS; host++) {
+            awaitServing(host);
+        }
+    }
+
+    @AfterEach
+    void stop() {
+        gateways.forEach(ProgramProcess::close);
+        servers.forEach(UpstreamStandIn::close);
+        store.close();
+    }
+
+    private ProgramProcess launch(int host) throws IOException {
+        Path settings = directory.resolve("edge-" + host + ".toml");
+        Files.writeString(
+                settings,
+                GatewayWorld.settings(store.address())
+                        .replace("name = \"edge-1\"", "name = \"edge-" + host + "\"")
+                        .replace("\"zone-a\"", "\"" + SoakWorld.zone(host) + "\""));
+        return ProgramProcess.start(
+                directory.resolve("edge-" + host + ".log"),
+                Main.class,
+                List.of(settings.toString()));
+    }
+
+    private void awaitServing(int host) throws InterruptedException {
+        String port = gateways.get(host).await("started", "caller_port");
+        callers.set(host, new TestClient("localhost:" + port));
+        TestClient.await(() -> send(host, "/read/calm").join() == 200);
+    }
+
+    private static long nowMilliseconds() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    private CompletableFuture<Integer> send(int host, String path) {
+        return callers.get(host)
+                .send("GET", path, "", "X-Siskinramp-Request-Id", "request-" + ++requests)
+                .thenApply(answer -> answer.statusCode());
+    }
+
+    /** Sends the crashing request at all hosts in turn, and an ordinary one beside each. */
+    private void sendFor(long milliseconds) throws InterruptedException {
+        long end = nowMilliseconds() + milliseconds;
+        for (int turn = 0; nowMilliseconds() < end; turn++) {
+            CompletableFuture<Integer> answer = send(turn % HOSTS, CRASHING);
+            crashing.put("request-" + requests, answer);
+            for (int host = 0; host < HOSTS; host++) {
+                answers.add(send(host, "/read/calm-" + requests));
+            }
+            Thread.sleep(GAP_MILLISECONDS);
+        }
+    }
+
+    private void assertQuarantined(String when) {
+        assertTrue(arrivals.size() >= ENDS, when + ": arrivals " + arrivals.size());
+        long known = arrivals.get(ENDS - 1) + CONTACT_MILLISECONDS;
+        long later = arrivals.stream().filter(at -> at > known).count();
+        assertTrue(
+                later <= LATER_ARRIVALS,
+                when + ": late " + later + ", arrivals after the first in ms " + offsets());
+    }
+
+    private List<Long> offsets() {
+        return arrivals.stream().map(at -> at - arrivals.get(0)).toList();
+    }
+
+    /** A refusal says that the request has not run and never will. */
+    private void assertRefusalsAreTrue() {
+        crashing.forEach(
+                (requestId, answer) ->
+                        assertFalse(
+                                answer.join() == REFUSED && arrived.contains(requestId),
+                                requestId + " was refused and reached a server"));
+    }
+
+    private void assertOthersAreServed() {
+        long served = answers.stream().filter(answer -> answer.join() == 200).count();
+        assertTrue(served >= 0.95 * answers.size(), "served " + served + "/" + answers.size());
+    }
+
+    @Test
+    void aRequestThatEndedThreeServersReachesHardlyAnyMore() throws Exception {
+        sendFor(10_000);
+        assertQuarantined("at all hosts");
+        assertRefusalsAreTrue();
+        assertOthersAreServed();
+    }
+
+    @Test
+    void hostsThatStartAgainKnowWhichRequestEndsServers() throws Exception {
+        sendFor(5_000);
+        for (int host = 0; host < HOSTS; host++) {
+            gateways.get(host).kill();
+        }
+        for (int host = 0; host < HOSTS; host++) {
+            gateways.set(host, launch(host));
+        }
+        for (int host = 0; host < HOSTS; host++) {
+            awaitServing(host);
+        }
+        Thread.sleep(CONTACT_MILLISECONDS);
+        sendFor(5_000);
+        assertQuarantined("after a restart of all hosts");
+    }
+
+    @Test
+    void hostsTellEachOtherWhileTheStoreIsSilent() throws Exception {
+        for (int host = 0; host < HOSTS; host++) {
+            int asked = host;
+            TestClient.await(
+                    () ->
+                            gateways.get(asked)
+                                    .text()
+                                    .contains("event=hosts_counted hosts=" + HOSTS));
+        }
+        servers.forEach(UpstreamStandIn::keepIdentity);
+        store.setFault(StoreFault.SILENT);
+        sendFor(8_000);
+        assertQuarantined("while the store is silent");
+    }
+
+    @Test
+    void otherRequestsOfTheSameRouteAreNotQuarantined() throws Exception {
+        sendFor(4_000);
+        assertEquals(200, send(0, "/read/crush").join());
+    }
+}
