Refuse a request at all hosts once three backend servers have ended under it

Callers saw 502 for each copy of a request that ends servers, and the servers ended: each attempt of a caller started from nothing, on every host, and max_attempts doubled it. The older entry host quarantines such requests; the gateway left that out. Class of fault: a belief that has to hold over all hosts and callers was kept nowhere.

What makes two requests the same is method, target and body. A crash counts only on proof that the server ended, once for each start of a server, and not if the content ran to its end elsewhere within 10 s. Three of any hosts: copies are refused as not run, for an hour, then one copy may try; each further crash doubles that. The host that proves a crash writes a row and tells the readers, who count and tell the others only what to refuse; rows outlive every host, messages carry it while the store is away. Whoever sees the content run to its end acquits it everywhere.

--- a/daemon/src/main/java/org/siskinramp/daemon/gateway/GatewayDaemon.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/gateway/GatewayDaemon.java
@@ -102,6 +102,10 @@
                 "siskinramp_requests_waiting",
                 "Requests that wait for a backend server.",
                 gateway::waiting);
+        metrics.register(
+                "siskinramp_quarantined_requests",
+                "Requests that are refused since they end backend servers.",
+                gateway::quarantinedRequests);
         metrics.register("siskinramp_hosts", "Hosts that share the budgets.", gateway::hosts);
         metrics.register(
                 "siskinramp_backend_servers_usable",
--- a/daemon/src/main/java/org/siskinramp/daemon/peer/MessageTypes.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/peer/MessageTypes.java
@@ -9,6 +9,7 @@
 import org.siskinramp.peer.ConfigurationAsk;
 import org.siskinramp.peer.ConfigurationNotice;
 import org.siskinramp.peer.ConfigurationPush;
+import org.siskinramp.peer.CrashReport;
 import org.siskinramp.peer.FeedAsk;
 import org.siskinramp.peer.FeedNews;
 import org.siskinramp.peer.Heartbeat;
@@ -17,6 +18,7 @@
 import org.siskinramp.peer.LoanReturn;
 import org.siskinramp.peer.OperatorNews;
 import org.siskinramp.peer.PeerMessage;
+import org.siskinramp.peer.QuarantineNews;
 import org.siskinramp.peer.SlotRelease;
 import org.siskinramp.peer.SuspectRequest;
 
@@ -40,6 +42,8 @@
                     Map.entry(FeedAsk.class, 13),
                     Map.entry(FeedNews.class, 14),
                     Map.entry(OperatorNews.class, 15),
+                    Map.entry(CrashReport.class, 16),
+                    Map.entry(QuarantineNews.class, 17),
                     Map.entry(Hello.class, 100),
                     Map.entry(Receipt.class, 101));
 
--- a/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
+++ b/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
@@ -96,6 +96,7 @@
                     permitted[0] =
                             attempt != null
                                     && !attempt.run().isEnded()
+                                    && !crashes.holdsBack(attempt.run())
                                     && fleet.isUsable(attempt.server(), now);
                 });
         return permitted[0];
@@ -125,7 +126,7 @@
             attempt.server().succeed();
         }
         attempt.run().endAttempt(attempt.number(), true, true);
-        crashes.completed(attempt.run());
+        crashes.completed(attempt.run(), effects);
         environment.measures().took(RequestTime.AT_SERVER, idempotent, now - attempt.sentAt());
         environment.eventLog().record(end(attempt, "answered_" + status, now));
         listener.ended(attempt, answer, AttemptVerdict.ofAnswer(status, idempotent), effects);
--- a/library/src/main/java/org/siskinramp/gateway/CrashWatch.java
+++ b/library/src/main/java/org/siskinramp/gateway/CrashWatch.java
@@ -11,6 +11,8 @@
 import org.siskinramp.log.Counter;
 import org.siskinramp.log.LogEvent;
 import org.siskinramp.quarantine.Crash;
+import org.siskinramp.quarantine.CrashReporter;
+import org.siskinramp.quarantine.Quarantine;
 import org.siskinramp.result.Futures;
 import org.siskinramp.routing.Effects;
 
@@ -45,12 +47,59 @@
 
     private final GatewayEnvironment environment;
     private final Locked locked;
+    private final Quarantine quarantine;
+    private final CrashReporter reporter;
     private final Map<String, Doubts> doubtsByServer = new LinkedHashMap<>();
     private final Map<String, Long> completions = new LinkedHashMap<>();
 
-    CrashWatch(GatewayEnvironment environment, Locked locked) {
+    CrashWatch(
+            GatewayEnvironment environment,
+            Locked locked,
+            Quarantine quarantine,
+            CrashReporter reporter) {
         this.environment = environment;
         this.locked = locked;
+        this.quarantine = quarantine;
+        this.reporter = reporter;
+    }
+
+    /** Tells whether a request must not be sent since it ends the servers that run it. */
+    boolean holdsBack(GatewayRun run) {
+        return !run.isTrial() && quarantine.refuses(run.request().contentHash());
+    }
+
+    /** Returns when a request that is held back may come again. */
+    long heldBackMilliseconds(GatewayRun run) {
+        return quarantine.refusedMilliseconds(run.request().contentHash());
+    }
+
+    /** Lets a request through that is no longer held back, and no other copy of it. */
+    void admit(GatewayRun run) {
+        String content = run.request().contentHash();
+        if (quarantine.crashes(content) >= Quarantine.CRASHES_TO_REFUSE) {
+            quarantine.beginTrial(content);
+            run.markAsTrial();
+        }
+    }
+
+    /**
+     * Tells whether a request whose connection broke may end another server. One server that ended
+     * under it ends by chance far more often than by it, so that one repeat is worth its risk.
+     */
+    boolean mayEndAnother(GatewayRun run) {
+        String content = run.request().contentHash();
+        return quarantine.crashes(content) + doubts(content) > 1
+                && !hasCompletedSince(content, now());
+    }
+
+    private int doubts(String content) {
+        int count = 0;
+        for (Doubts doubts : doubtsByServer.values()) {
+            for (Doubt doubt : doubts.list) {
+                count += doubt.crash.content().equals(content) ? 1 : 0;
+            }
+        }
+        return count;
     }
 
     /** Notes that the connection broke on which a server had got a request. */
@@ -150,15 +199,23 @@
             return;
         }
         long now = now();
+        List<Crash> proved = new ArrayList<>();
         for (Doubt doubt : doubts.list) {
+            boolean innocent = hasCompletedSince(doubt.crash.content(), doubt.brokenAt);
             if (now - doubt.brokenAt <= DOUBT_MILLISECONDS) {
-                note(doubt, proof, now);
+                note(doubt, innocent, proof, now);
+                if (!innocent) {
+                    proved.add(doubt.crash);
+                }
             }
         }
+        if (!proved.isEmpty()) {
+            quarantine.add(proved);
+            effects.add(() -> reporter.report(proved));
+        }
     }
 
-    private void note(Doubt doubt, String proof, long now) {
-        boolean innocent = hasCompletedSince(doubt.crash.content(), doubt.brokenAt);
+    private void note(Doubt doubt, boolean innocent, String proof, long now) {
         environment.counters().add(innocent ? Counter.CRASHES_EXCUSED : Counter.CRASHES);
         environment
                 .eventLog()
@@ -177,12 +234,28 @@
         return completedAt != null && completedAt >= brokenAt - INNOCENCE_MILLISECONDS;
     }
 
-    /** Notes that a server ran a request to its end. */
-    void completed(GatewayRun run) {
+    /** Notes that a server ran a request to its end, which clears it. */
+    void completed(GatewayRun run, Effects effects) {
         String content = run.request().contentHash();
         completions.remove(content);
         completions.put(content, now());
         dropOldest(completions, COMPLETIONS_KEPT);
+        acquitIfSuspected(content, effects);
+    }
+
+    private void acquitIfSuspected(String content, Effects effects) {
+        if (quarantine.crashes(content) > 0) {
+            effects.add(() -> reporter.acquit(content));
+        }
+    }
+
+    /** Clears the requests that this host saw running to their end just before. */
+    void review(List<String> contents, Effects effects) {
+        for (String content : contents) {
+            if (hasCompletedSince(content, now())) {
+                acquitIfSuspected(content, effects);
+            }
+        }
     }
 
     /** Forgets the doubts that nothing proved in time. */
--- a/library/src/main/java/org/siskinramp/gateway/Gateway.java
+++ b/library/src/main/java/org/siskinramp/gateway/Gateway.java
@@ -14,6 +14,8 @@
 import org.siskinramp.fleet.ServerEntry;
 import org.siskinramp.log.Counter;
 import org.siskinramp.log.LogEvent;
+import org.siskinramp.quarantine.CrashReporter;
+import org.siskinramp.quarantine.Quarantine;
 import org.siskinramp.request.Answer;
 import org.siskinramp.request.Request;
 import org.siskinramp.result.Futures;
@@ -48,6 +50,7 @@
     private final Map<String, ServicePool> pools = new HashMap<>();
     private volatile RouteTable routes = NO_ROUTES;
     private final HostCount hosts;
+    private final Quarantine quarantine;
     private final CrashWatch crashes;
     private int inProgress;
 
@@ -59,10 +62,34 @@
      * @param hosts how many hosts to assume that share the budgets until they are counted
      */
     public Gateway(GatewayEnvironment environment, GatewayOptions options, int hosts) {
+        this(
+                environment,
+                options,
+                hosts,
+                new Quarantine(environment.clock(), environment.eventLog()),
+                CrashReporter.NONE);
+    }
+
+    /**
+     * Creates a gateway that shares with others which requests end backend servers.
+     *
+     * @param environment what it uses of the outside
+     * @param options times, counts and budgets
+     * @param hosts how many hosts to assume that share the budgets until they are counted
+     * @param quarantine what is known of requests that end backend servers
+     * @param reporter is told what this host proves
+     */
+    public Gateway(
+            GatewayEnvironment environment,
+            GatewayOptions options,
+            int hosts,
+            Quarantine quarantine,
+            CrashReporter reporter) {
         this.environment = environment;
         this.options = options;
         this.hosts = new HostCount(hosts);
-        this.crashes = new CrashWatch(environment, this::locked);
+        this.quarantine = quarantine;
+        this.crashes = new CrashWatch(environment, this::locked, quarantine, reporter);
     }
 
     /**
@@ -272,6 +299,20 @@
                                 crashes));
     }
 
+    /**
+     * Takes requests that are refused from now on: waiting copies are refused, and those that this
+     * host saw running to their end just before are acquitted.
+     *
+     * @param contents their fingerprints
+     */
+    public void holdBack(List<String> contents) {
+        locked(
+                effects -> {
+                    crashes.review(contents, effects);
+                    pools.values().forEach(pool -> pool.refuseHeldBack(effects));
+                });
+    }
+
     /** Does what is due without another event. */
     public void tick() {
         locked(
@@ -314,6 +355,15 @@
         }
     }
 
+    /**
+     * Counts the requests that are refused since they end backend servers.
+     *
+     * @return the requests, copies not counted
+     */
+    public int quarantinedRequests() {
+        return quarantine.contents().size();
+    }
+
     /**
      * Counts the backend servers that may get new requests.
      *
--- a/library/src/main/java/org/siskinramp/gateway/GatewayRun.java
+++ b/library/src/main/java/org/siskinramp/gateway/GatewayRun.java
@@ -23,6 +23,7 @@
     private boolean waiting;
     private boolean searching;
     private boolean mayHaveRun;
+    private boolean trial;
     private boolean ended;
 
     GatewayRun(Request request, Route route) {
@@ -119,6 +120,15 @@
         return mayHaveRun;
     }
 
+    /** Lets it pass though its copies are held back. */
+    void markAsTrial() {
+        trial = true;
+    }
+
+    boolean isTrial() {
+        return trial;
+    }
+
     /** Ends it once; returns false if it had ended before. */
     boolean end() {
         boolean first = !ended;
--- a/library/src/main/java/org/siskinramp/gateway/RunEnds.java
+++ b/library/src/main/java/org/siskinramp/gateway/RunEnds.java
@@ -11,6 +11,9 @@
 /** Ends requests: gives the answer, refuses as not run, or fails without a promise. */
 final class RunEnds {
 
+    /** Each refusal promises that the request has not run, whatever its code. */
+    private static final int REFUSED = 503;
+
     private final GatewayEnvironment environment;
 
     RunEnds(GatewayEnvironment environment) {
@@ -32,11 +35,21 @@
             String reason,
             long expectedWaitMilliseconds,
             Effects effects) {
+        long wait = ReturnTime.milliseconds(expectedWaitMilliseconds, environment.random());
+        refuseFor(run, code, reason, wait, effects);
+    }
+
+    /** Refuses a request that would end the server that runs it, for as long as that is so. */
+    void holdBack(GatewayRun run, long milliseconds, Effects effects) {
+        refuseFor(run, ResultCode.QUARANTINED, "quarantined", milliseconds, effects);
+    }
+
+    private void refuseFor(
+            GatewayRun run, ResultCode code, String reason, long milliseconds, Effects effects) {
         if (run.end()) {
             environment.counters().add(Counter.REQUESTS_REFUSED);
-            note("request_refused", run, code, code.httpStatus(), reason);
-            long wait = ReturnTime.milliseconds(expectedWaitMilliseconds, environment.random());
-            fail(run, new ResultException(code, reason, wait), effects);
+            note("request_refused", run, code, REFUSED, reason);
+            fail(run, new ResultException(code, reason, milliseconds), effects);
         }
     }
 
@@ -63,6 +76,7 @@
                 .record(
                         LogEvent.named(event)
                                 .with("request", run.request().key().requestId())
+                                .with("content", run.request().contentHash())
                                 .with("route", run.route().name())
                                 .with("service", run.request().service())
                                 .with("result_code", code.number())
--- a/library/src/main/java/org/siskinramp/gateway/ServicePool.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServicePool.java
@@ -47,6 +47,7 @@
     private final Locked locked;
     private final Supplier<RouteTable> routes;
     private final HostCount hosts;
+    private final CrashWatch crashes;
     private final ServerScope scope;
     private final AttemptDesk desk;
     private final RunEnds ends;
@@ -73,6 +74,7 @@
         this.locked = locked;
         this.routes = routes;
         this.hosts = hosts;
+        this.crashes = crashes;
         scope = new ServerScope(service, environment, options, fleet, newColdRate());
         desk = new AttemptDesk(environment, fleet, locked, crashes, this);
         ends = new RunEnds(environment);
@@ -94,6 +96,11 @@
         long now = now();
         retryBudget.countRequest(now);
         searches.countRequest();
+        if (crashes.holdsBack(run)) {
+            ends.holdBack(run, crashes.heldBackMilliseconds(run), effects);
+            return;
+        }
+        crashes.admit(run);
         if (scope.isEmpty(now)) {
             ends.refuse(run, ResultCode.NO_BACKEND_SERVER, "no_backend_server", 0, effects);
             return;
@@ -207,12 +214,25 @@
     private void giveUp(GatewayRun run, ResultCode notRun, String reason, Effects effects) {
         if (run.mayHaveRun()) {
             ends.fail(run, ResultCode.BACKEND_SERVER_FAILED, reason, effects);
+        } else if (crashes.holdsBack(run)) {
+            ends.holdBack(run, crashes.heldBackMilliseconds(run), effects);
         } else {
             long wait = startRate.expectedMilliseconds(queue.size() + 1, now());
             ends.refuse(run, notRun, reason, wait, effects);
         }
     }
 
+    /** Refuses the waiting requests that are held back from now on. */
+    void refuseHeldBack(Effects effects) {
+        Optional<GatewayRun> next = queue.findFirst(crashes::holdsBack);
+        while (next.isPresent()) {
+            unqueue(next.get());
+            giveUp(next.get(), ResultCode.QUARANTINED, "quarantined", effects);
+            next = queue.findFirst(crashes::holdsBack);
+        }
+        pump(effects);
+    }
+
     private void unqueue(GatewayRun run) {
         if (run.isWaiting()) {
             run.endWaiting();
@@ -308,7 +328,12 @@
 
     private void follow(
             GatewayRun run, AttemptAnswer answer, AttemptVerdict verdict, Effects effects) {
-        boolean repeatable = verdict != AttemptVerdict.DELIVER && verdict != AttemptVerdict.FAIL;
+        boolean repeatable =
+                verdict != AttemptVerdict.DELIVER
+                        && verdict != AttemptVerdict.FAIL
+                        && !crashes.holdsBack(run)
+                        && !(verdict == AttemptVerdict.REPEAT_OR_FAIL
+                                && crashes.mayEndAnother(run));
         if (repeatable && repeat(run, effects)) {
             return;
         }
--- /dev/null
+++ b/library/src/main/java/org/siskinramp/quarantine/CrashChange.java
@@ -0,0 +1,11 @@
+package org.siskinramp.quarantine;
+
+import java.util.Optional;
+
+/**
+ * Tells a row of the table of crashes.
+ *
+ * @param key the key of the crash
+ * @param crash the crash, or empty if the row is gone or cannot be read
+ */
+public record CrashChange(String key, Optional<Crash> crash) {}
--- a/library/src/main/java/org/siskinramp/relay/FeedRelay.java
+++ b/library/src/main/java/org/siskinramp/relay/FeedRelay.java
@@ -29,7 +29,7 @@
  * and one message. A host that knows nothing yet is told by any other, with the age of what that
  * one knows. Lock order: that of a follower, then that of the relay.
  */
-public final class FeedRelay {
+public final class FeedRelay implements Neighbours {
 
     /** How often a host repeats that it wants to be told. */
     private static final long ASK_MILLISECONDS = 1_000;
@@ -114,6 +114,9 @@
             followed.hosts().start();
             scheduler.schedule(SEED_PATIENCE_MILLISECONDS, this::askSeed);
         }
+        // Nothing waits for the crashes; a reader tells the others which requests to refuse.
+        followed.crashes().coverUntil(now() + FIRST_NEWS_MILLISECONDS);
+        followed.crashes().start();
         scheduler.schedule(ASK_MILLISECONDS, this::tick);
     }
 
@@ -125,6 +128,7 @@
         long firstNews = now() + FIRST_LOOK_MILLISECONDS + FIRST_NEWS_MILLISECONDS;
         followers.servers().coverUntil(firstNews);
         followers.operator().coverUntil(firstNews);
+        followers.crashes().coverUntil(firstNews);
         scheduler.schedule(FIRST_LOOK_MILLISECONDS, followers.hosts()::start);
     }
 
@@ -291,6 +295,7 @@
                 now() - news.operatorAgeMilliseconds() + options.operatorSpanMilliseconds();
         fedUntil = Math.min(serversUntil, operatorUntil);
         followers.servers().coverUntil(serversUntil);
+        followers.crashes().coverUntil(serversUntil);
         followers.operator().coverUntil(operatorUntil);
         if (followers.hosts().isSynced()) {
             followers.hosts().coverUntil(now() + HOSTS_SPAN_MILLISECONDS);
@@ -326,6 +331,9 @@
             followers.servers().endCover();
             followers.operator().endCover();
         }
+        if (reads && !followers.crashes().isSynced()) {
+            followers.crashes().endCover();
+        }
     }
 
     /** A host that cannot read who the others are has only the seeds to ask. */
@@ -344,12 +352,27 @@
                 });
     }
 
+    @Override
+    public synchronized List<String> readers() {
+        return table.readers(now()).stream()
+                .map(HostEntry::name)
+                .filter(name -> !name.equals(self.name()))
+                .toList();
+    }
+
+    @Override
+    public synchronized List<String> subscribers() {
+        return subscribers.hosts();
+    }
+
     /** Whatever tells a host that knows nothing yet is welcome. */
-    private boolean listensTo(String host) {
+    @Override
+    public synchronized boolean listensTo(String host) {
         return choice.isSource(host) || !followers.hosts().isSynced();
     }
 
-    private boolean isReader() {
+    @Override
+    public synchronized boolean isReader() {
         return table.readers(now()).stream().anyMatch(reader -> reader.name().equals(self.name()));
     }
 
--- a/library/src/test/java/org/siskinramp/relay/RelayWorld.java
+++ b/library/src/test/java/org/siskinramp/relay/RelayWorld.java
@@ -21,6 +21,9 @@
 import org.siskinramp.follow.ServerChange;
 import org.siskinramp.peer.PeerMessage;
 import org.siskinramp.peer.SeedName;
+import org.siskinramp.quarantine.Crash;
+import org.siskinramp.quarantine.CrashChange;
+import org.siskinramp.quarantine.Quarantine;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.result.ResultException;
 import org.siskinramp.route.CallerLimits;
@@ -50,6 +53,7 @@
     int calls;
     int messages;
     private final Map<String, Row> rows = new TreeMap<>();
+    private final Map<String, Crash> crashes = new TreeMap<>();
     private final boolean firstStart;
     private long version = 1;
 
@@ -93,6 +97,16 @@
         return version;
     }
 
+    /** Removes the rows of a request as an operator does. */
+    void release(String content) {
+        for (String key : List.copyOf(crashes.keySet())) {
+            if (crashes.get(key).content().equals(content)) {
+                crashes.remove(key);
+                write(key);
+            }
+        }
+    }
+
     Host host(String name) {
         return hosts.get(name);
     }
@@ -176,6 +190,7 @@
                     Host reached = hosts.get(to);
                     if (!cut && reached.alive) {
                         reached.relay.receive(from, message);
+                        reached.quarantineRelay.receive(from, message);
                     }
                 });
     }
@@ -195,6 +210,8 @@
         final Set<String> draining = new HashSet<>();
         final Set<String> settings = new HashSet<>();
         FeedRelay relay;
+        Quarantine quarantine;
+        QuarantineRelay quarantineRelay;
 
         private Host(String name, String zone) {
             this.name = name;
@@ -255,7 +272,19 @@
                             relay::hostsRead,
                             () -> 10_000,
                             () -> 0);
-            Followers followers = new Followers(servers, operator, table);
+            quarantine = new Quarantine(time, event -> {});
+            quarantineRelay =
+                    new QuarantineRelay(quarantine, this::writeCrashes, scheduler(), event -> {});
+            ChangeFollower<CrashChange> crashTable =
+                    follower(
+                            "crashes/",
+                            this::crashChange,
+                            quarantineRelay::crashesRead,
+                            () -> 1_000,
+                            () -> relay.isAsked() ? 5_000 : 10_000);
+            Followers followers = new Followers(servers, operator, table, crashTable);
+            quarantineRelay.start(
+                    relay, (to, message) -> deliver(name, to, message), contents -> {});
             relay.start(
                     entry,
                     published ->
@@ -322,6 +351,32 @@
                     : new OperatorChange.Evacuation(row.key, true);
         }
 
+        private CompletableFuture<Void> writeCrashes(List<Crash> added, List<String> removed) {
+            return call(
+                    this,
+                    () -> {
+                        added.forEach(crash -> crashes.put("crashes/" + crash.key(), crash));
+                        added.forEach(crash -> write("crashes/" + crash.key()));
+                        removed.forEach(key -> crashes.remove("crashes/" + key));
+                        removed.forEach(key -> write("crashes/" + key));
+                        return null;
+                    });
+        }
+
+        /** A row that was removed is told as such, whether all or the changes are read. */
+        private CrashChange crashChange(Row row) {
+            return new CrashChange(
+                    row.key.substring("crashes/".length()),
+                    Optional.ofNullable(crashes.get(row.key)));
+        }
+
+        /** Proves that a server ended under a request. */
+        void prove(String content, String server) {
+            Crash crash = new Crash(content, "read", server, 1);
+            quarantine.add(List.of(crash));
+            quarantineRelay.report(List.of(crash));
+        }
+
         private ServerEntry drainingServer(String key) {
             return ServerBookTest.entry(key, true, 0, 1);
         }
