Keep the budget of repeats over a whole window, and over starts of hosts

A repeat was counted when it was allowed and may be sent seconds later, in a window in which it does not count. Each start granted the slack again, one repeat at least, so that a series of starts within a window added up over all hosts.

Two tests of GatewayTest asked for a repeat in the first millisecond of a host; they let a window pass first now and assert the same.

--- a/library/src/main/java/org/siskinramp/gateway/Gateway.java
+++ b/library/src/main/java/org/siskinramp/gateway/Gateway.java
@@ -87,7 +87,11 @@
             CrashReporter reporter) {
         this.environment = environment;
         this.options = options;
-        this.hosts = new HostCount(hosts);
+        this.hosts =
+                new HostCount(
+                        hosts,
+                        environment.clock().monotonicMilliseconds(),
+                        options.retryWindowMilliseconds());
         this.quarantine = quarantine;
         this.crashes = new CrashWatch(environment, this::locked, quarantine, reporter);
     }
--- a/library/src/main/java/org/siskinramp/gateway/GatewayRun.java
+++ b/library/src/main/java/org/siskinramp/gateway/GatewayRun.java
@@ -24,6 +24,7 @@
     private boolean searching;
     private boolean mayHaveRun;
     private boolean trial;
+    private boolean repeatReserved;
     private boolean ended;
 
     GatewayRun(Request request, Route route) {
@@ -129,6 +130,15 @@
         return trial;
     }
 
+    void reserveRepeat(boolean value) {
+        repeatReserved = value;
+    }
+
+    /** Tells whether its next attempt was set aside in the budget of repeats. */
+    boolean hasReservedRepeat() {
+        return repeatReserved;
+    }
+
     /** Ends it once; returns false if it had ended before. */
     boolean end() {
         boolean first = !ended;
--- a/library/src/main/java/org/siskinramp/gateway/HostCount.java
+++ b/library/src/main/java/org/siskinramp/gateway/HostCount.java
@@ -1,31 +1,40 @@
 package org.siskinramp.gateway;
 
-/** Tells how many hosts share a budget, and this host's part of it. Safe for any thread. */
+/**
+ * Tells how many hosts share a budget, and this host's part of it. The part grows over the first
+ * window after a start, so that starts that follow each other within a window are granted it once
+ * together. Safe for any thread.
+ */
 final class HostCount {
 
+    private final long startedAt;
+    private final long windowMilliseconds;
     private volatile int hosts;
-    private volatile boolean counted;
 
-    /** Starts with a number that is assumed until the hosts are counted. */
-    HostCount(int assumed) {
+    /**
+     * Starts with a number that is assumed until the hosts are counted.
+     *
+     * @param assumed that number
+     * @param startedAt when this host started, in monotonic milliseconds
+     * @param windowMilliseconds the window of the budget
+     */
+    HostCount(int assumed, long startedAt, long windowMilliseconds) {
+        this.startedAt = startedAt;
+        this.windowMilliseconds = windowMilliseconds;
         hosts = Math.max(1, assumed);
     }
 
     void follow(int newCount) {
         hosts = Math.max(1, newCount);
-        counted = true;
     }
 
     int hosts() {
         return hosts;
     }
 
-    /**
-     * Returns this host's part of a number that all hosts share. Before they are counted it is one
-     * at least: a host that has just started has no requests yet that would earn it a repeat.
-     */
-    double partOf(double shared) {
-        double part = shared / hosts;
-        return counted ? part : Math.max(1, part);
+    /** Returns this host's part of a number that all hosts share. */
+    double partOf(double shared, long now) {
+        double grown = Math.min(1, (double) (now - startedAt) / windowMilliseconds);
+        return grown * shared / hosts;
     }
 }
--- a/library/src/main/java/org/siskinramp/gateway/ServicePool.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServicePool.java
@@ -238,6 +238,10 @@
             run.endWaiting();
             var unused = queue.takeFirst(waiting -> waiting == run);
         }
+        if (run.hasReservedRepeat()) {
+            run.reserveRepeat(false);
+            retryBudget.release();
+        }
     }
 
     /** Stops the work on a request whose caller has left. */
@@ -276,6 +280,10 @@
             return false;
         }
         GatewayRun run = next.get();
+        if (run.hasReservedRepeat()) {
+            run.reserveRepeat(false);
+            retryBudget.countRepeat(now);
+        }
         unqueue(run);
         startRate.add(now);
         desk.start(run, server, run.sendCount() == 0 ? reason : "repeat", effects);
@@ -363,14 +371,15 @@
             return false;
         }
         if (run.arrivals() > 0) {
-            double slack = hosts.partOf(options.retrySlack());
+            double slack = hosts.partOf(options.retrySlack(), now);
             boolean allowed = retryBudget.allows(now, slack);
             logRepeat(run, allowed, slack, now);
             environment.counters().add(allowed ? Counter.RETRIES : Counter.RETRIES_DENIED);
             if (!allowed) {
                 return false;
             }
-            retryBudget.countRepeat(now);
+            retryBudget.reserve();
+            run.reserveRepeat(true);
         }
         enqueue(run, latestStart, effects);
         return true;
--- a/library/src/test/java/org/siskinramp/gateway/GatewayTest.java
+++ b/library/src/test/java/org/siskinramp/gateway/GatewayTest.java
@@ -33,6 +33,9 @@
     private static final Route WRITE = route("write", false, 0);
     private static final int HOSTS = 2;
 
+    /** After this a host that started has its whole part of the budget of repeats. */
+    private static final long RETRY_WINDOW = 10_000;
+
     private final VirtualTime time = new VirtualTime();
     private final ModelServers servers = new ModelServers(time, 7);
     private final Gateway gateway = newGateway(1);
@@ -104,6 +107,7 @@
 
     @Test
     void repeatsAnIdempotentRequestWhoseAnswerWasLost() {
+        time.advance(RETRY_WINDOW);
         publish(servers.add("lossy", "zone-1", 4, 50).behave(ModelServers.Behaviour.LOSE_ANSWERS));
         CompletableFuture<Answer> answer = send(READ);
         time.advance(10);
@@ -125,6 +129,7 @@
 
     @Test
     void repeatsANonIdempotentRequestThatProvablyDidNotRun() {
+        time.advance(RETRY_WINDOW);
         publish(
                 servers.add("full", "zone-1", 4, 50).behave(ModelServers.Behaviour.SHED),
                 servers.add("far", "zone-2", 4, 50));
