Place requests on a server again whose first probe failed

A failed first probe (the host has just started, or the server) marked the server as one that never tells its load, so that it was not asked again and got no request while others told theirs. Only an answer without a load shows that now. GatewayTest.triesAServerAgainWhoseFirstProbeFailed got 0 of 100 requests before, 20 or more now.

--- a/library/src/main/java/org/siskinramp/fleet/KnownServer.java
+++ b/library/src/main/java/org/siskinramp/fleet/KnownServer.java
@@ -36,7 +36,7 @@
     private int sentSinceSeen;
     private int inFlight;
     private int probes;
-    private boolean silent;
+    private boolean answered;
     private long suspectUntil = Long.MIN_VALUE / 2;
     private long suspicion = FIRST_SUSPICION_MILLISECONDS;
     private boolean ill;
@@ -58,6 +58,7 @@
     }
 
     private void forget() {
+        answered = false;
         running = LoadReport.UNKNOWN;
         seenAt = Long.MIN_VALUE / 2;
         suspectUntil = Long.MIN_VALUE / 2;
@@ -197,7 +198,7 @@
      * @return true if it answered and never told its load
      */
     public boolean isSilent() {
-        return silent;
+        return answered && !tellsLoad();
     }
 
     /** Notes that a probe was sent. */
@@ -231,13 +232,24 @@
     }
 
     /**
-     * Takes a load report in.
+     * Takes the load report of an answer in.
      *
      * @param report what the server told
      * @param now monotonic milliseconds
      */
+    public void seeAnswer(LoadReport report, long now) {
+        answered = true;
+        see(report, now);
+    }
+
+    /**
+     * Takes in what is known of the load after a failure. A failure does not show that the server
+     * never tells its load.
+     *
+     * @param report what the server told, or a report without load
+     * @param now monotonic milliseconds
+     */
     public void see(LoadReport report, long now) {
-        silent = !report.tellsLoad() && running < 0;
         if (report.tellsLoad()) {
             running = report.requestsInProgress();
             waiting = Math.max(0, report.requestsWaiting());
--- a/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
+++ b/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
@@ -119,7 +119,7 @@
     private void answered(Open attempt, AttemptAnswer answer, boolean idempotent, Effects effects) {
         long now = environment.clock().monotonicMilliseconds();
         int status = answer.answer().status();
-        attempt.server().see(answer.loadReport(), now);
+        attempt.server().seeAnswer(answer.loadReport(), now);
         if (status >= FIRST_SERVER_ERROR) {
             attempt.server().fail(now);
         } else {
--- a/library/src/main/java/org/siskinramp/gateway/SearchDesk.java
+++ b/library/src/main/java/org/siskinramp/gateway/SearchDesk.java
@@ -188,7 +188,7 @@
         long now = now();
         if (failure == null) {
             round.answers++;
-            server.see(report, now);
+            server.seeAnswer(report, now);
             server.tellHealth(!report.leaving());
         } else {
             AttemptException cause = AttemptException.from(failure);
--- a/library/src/test/java/org/siskinramp/gateway/GatewayTest.java
+++ b/library/src/test/java/org/siskinramp/gateway/GatewayTest.java
@@ -85,6 +85,23 @@
         assertEquals(10, servers.model("fast").runs());
     }
 
+    /** A probe may fail because a process has just started; the server is well afterwards. */
+    @Test
+    void triesAServerAgainWhoseFirstProbeFailed() {
+        ModelServers.Model late = servers.add("late", "zone-1", 4, 20);
+        late.behave(ModelServers.Behaviour.REFUSE_CONNECTIONS);
+        publish(late, servers.add("other", "zone-1", 4, 20));
+        sendAll(READ, 1);
+        time.advance(100);
+        late.behave(ModelServers.Behaviour.ANSWER);
+        time.advance(2_000);
+        for (int request = 0; request < 100; request++) {
+            sendAll(READ, 1);
+            time.advance(50);
+        }
+        assertTrue(late.runs() >= 20, "requests of the server that is well again: " + late.runs());
+    }
+
     @Test
     void crossesIntoAnotherZoneOnceItsOwnIsFull() {
         publish(servers.add("near", "zone-1", 1, 400), servers.add("far", "zone-2", 4, 100));
