Keep one copy of the evacuated zones, of the empty routes and of the proxies of tests

No behaviour changes. GatewayFeed and OperatorBook followed evacuations each for itself; both use EvacuatedZones now. The soak replaces a server and disturbs its link one after the other, since a fault for a link that was just closed failed the run.

--- a/library/src/main/java/org/siskinramp/follow/GatewayFeed.java
+++ b/library/src/main/java/org/siskinramp/follow/GatewayFeed.java
@@ -2,8 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
-import java.util.TreeSet;
 import java.util.function.LongSupplier;
 import org.siskinramp.fleet.ServerEntry;
 import org.siskinramp.gateway.Gateway;
@@ -15,7 +13,7 @@
     private static final long REPUBLISH_MILLISECONDS = 2_300;
 
     private final Gateway gateway;
-    private final Set<String> evacuated = new TreeSet<>();
+    private final EvacuatedZones evacuated = new EvacuatedZones();
 
     /**
      * Creates a feed.
@@ -54,24 +52,12 @@
      * @param changes what was read
      */
     public void takeOperator(Changes<OperatorChange> changes) {
-        if (changes.whole()) {
-            evacuated.clear();
-        }
         for (OperatorChange change : changes.items()) {
             if (change instanceof OperatorChange.Routes routes) {
                 gateway.follow(routes.routes());
-            } else if (change instanceof OperatorChange.Evacuation evacuation) {
-                follow(evacuation);
             }
         }
-        gateway.evacuate(Set.copyOf(evacuated));
-    }
-
-    private void follow(OperatorChange.Evacuation evacuation) {
-        if (evacuation.evacuated()) {
-            evacuated.add(evacuation.availabilityZone());
-        } else {
-            evacuated.remove(evacuation.availabilityZone());
-        }
+        evacuated.follow(changes);
+        gateway.evacuate(evacuated.names());
     }
 }
--- a/library/src/main/java/org/siskinramp/gateway/AdmissionRule.java
+++ b/library/src/main/java/org/siskinramp/gateway/AdmissionRule.java
@@ -17,7 +17,7 @@
      *
      * @param arrived when it arrived, in monotonic milliseconds
      * @param objectiveMilliseconds its objective
-     * @param workMilliseconds how long nearly all such work takes at most
+     * @param workMilliseconds how long such work takes, at the quantile that is to end in time
      * @return monotonic milliseconds
      */
     static long latestStart(long arrived, long objectiveMilliseconds, long workMilliseconds) {
--- a/library/src/main/java/org/siskinramp/gateway/Gateway.java
+++ b/library/src/main/java/org/siskinramp/gateway/Gateway.java
@@ -19,7 +19,6 @@
 import org.siskinramp.request.Answer;
 import org.siskinramp.request.Request;
 import org.siskinramp.result.Futures;
-import org.siskinramp.route.CallerLimits;
 import org.siskinramp.route.Route;
 import org.siskinramp.route.RouteTable;
 import org.siskinramp.route.SplitChoice;
@@ -39,16 +38,13 @@
  */
 public final class Gateway {
 
-    private static final RouteTable NO_ROUTES =
-            new RouteTable(0, List.of(), List.of(), new CallerLimits(0, 0, 0, 0));
-
     private final ReentrantLock lock = new ReentrantLock();
     private final GatewayEnvironment environment;
     private final GatewayOptions options;
     private final Fleet fleet = new Fleet();
     private final SplitChoice splits = new SplitChoice();
     private final Map<String, ServicePool> pools = new HashMap<>();
-    private volatile RouteTable routes = NO_ROUTES;
+    private volatile RouteTable routes = RouteTable.EMPTY;
     private final HostCount hosts;
     private final Quarantine quarantine;
     private final CrashWatch crashes;
--- a/library/src/main/java/org/siskinramp/relay/OperatorBook.java
+++ b/library/src/main/java/org/siskinramp/relay/OperatorBook.java
@@ -3,12 +3,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.TreeSet;
 import org.siskinramp.follow.Changes;
+import org.siskinramp.follow.EvacuatedZones;
 import org.siskinramp.follow.OperatorChange;
 import org.siskinramp.peer.OperatorNews;
 import org.siskinramp.peer.RouteLine;
-import org.siskinramp.route.CallerLimits;
 import org.siskinramp.route.RouteTable;
 
 /**
@@ -21,11 +20,8 @@
     /** About 6 kB; between availability zones that costs as much as a call to the store. */
     static final int ROUTES_TOLD_AT_MOST = 40;
 
-    private static final RouteTable NO_ROUTES =
-            new RouteTable(0, List.of(), List.of(), new CallerLimits(0, 0, 0, 0));
-
-    private final TreeSet<String> evacuatedZones = new TreeSet<>();
-    private RouteTable routes = NO_ROUTES;
+    private final EvacuatedZones evacuatedZones = new EvacuatedZones();
+    private RouteTable routes = RouteTable.EMPTY;
     private long version;
 
     /** Returns the version of the last change by an operator, 0 before the first read. */
@@ -38,26 +34,14 @@
             return;
         }
         version = changes.version();
-        if (changes.whole()) {
-            evacuatedZones.clear();
-        }
+        evacuatedZones.follow(changes);
         for (OperatorChange change : changes.items()) {
             if (change instanceof OperatorChange.Routes newer) {
                 routes = newer.routes();
-            } else if (change instanceof OperatorChange.Evacuation evacuation) {
-                follow(evacuation);
             }
         }
     }
 
-    private void follow(OperatorChange.Evacuation evacuation) {
-        if (evacuation.evacuated()) {
-            evacuatedZones.add(evacuation.availabilityZone());
-        } else {
-            evacuatedZones.remove(evacuation.availabilityZone());
-        }
-    }
-
     /** Returns what is told, or empty if there are too many routes. */
     Optional<OperatorNews> news(long ageMilliseconds) {
         if (routes.routeCount() > ROUTES_TOLD_AT_MOST) {
@@ -71,7 +55,7 @@
                         routes.routes().stream().map(RouteLine::of).toList(),
                         List.copyOf(routes.services()),
                         routes.limits(),
-                        List.copyOf(evacuatedZones)));
+                        List.copyOf(evacuatedZones.names())));
     }
 
     /** Turns what another host tells into the changes that a read of the whole table would give. */
--- a/library/src/main/java/org/siskinramp/route/RouteTable.java
+++ b/library/src/main/java/org/siskinramp/route/RouteTable.java
@@ -9,6 +9,10 @@
 /** Holds one version of all routes, services and limits. It never changes. */
 public final class RouteTable {
 
+    /** The table before the first one was read: version 0, no routes. */
+    public static final RouteTable EMPTY =
+            new RouteTable(0, List.of(), List.of(), new CallerLimits(0, 0, 0, 0));
+
     private final long version;
     private final Map<String, Map<String, Route>> routesByPrefixByHost = new HashMap<>();
     private final Map<String, RoutedService> services = new HashMap<>();
--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/Cluster.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/Cluster.java
@@ -73,7 +73,7 @@
         hosts.values().forEach(RunningHost::awaitAuthority);
     }
 
-    private static FaultProxy proxyTo(String target) {
+    static FaultProxy proxyTo(String target) {
         return FaultProxy.start("127.0.0.1:0", target, "127.0.0.1:0", new SystemClock());
     }
 
@@ -196,7 +196,7 @@
         post(platformProxy.controlAddress(), "{\"cut\": " + cut + "}");
     }
 
-    private static void post(String address, String faults) {
+    static void post(String address, String faults) {
         int status = new TestClient(address).post("/-/faults", faults).statusCode();
         if (status != 200) {
             throw new AssertionError(faults + " " + status);
--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/SoakWorld.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/SoakWorld.java
@@ -10,14 +10,12 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.siskinramp.adapter.Main;
-import org.siskinramp.standin.TestClient;
 import org.siskinramp.standin.proxy.FaultProxy;
 import org.siskinramp.standin.store.StoreFault;
 import org.siskinramp.standin.store.StoreStandIn;
 import org.siskinramp.standin.upstream.GatewayWorld;
 import org.siskinramp.standin.upstream.UpstreamFault;
 import org.siskinramp.standin.upstream.UpstreamStandIn;
-import org.siskinramp.time.SystemClock;
 
 /** Runs gateways as processes behind proxies, with a store and backend servers in this process. */
 final class SoakWorld implements AutoCloseable {
@@ -50,7 +48,7 @@
             startServer(server);
         }
         for (int host = 0; host < HOSTS; host++) {
-            storeLinks.add(proxyTo(store.address()));
+            storeLinks.add(Cluster.proxyTo(store.address()));
             launch(host);
         }
         for (int host = 0; host < HOSTS; host++) {
@@ -58,10 +56,6 @@
         }
     }
 
-    private static FaultProxy proxyTo(String target) {
-        return FaultProxy.start("127.0.0.1:0", target, "127.0.0.1:0", new SystemClock());
-    }
-
     static String zone(int number) {
         return "zone-" + (char) ('a' + number % ZONES);
     }
@@ -71,7 +65,7 @@
         UpstreamStandIn started =
                 new UpstreamStandIn(
                         identity, "desk", zone(server), SLOTS, WORK_MILLISECONDS, store);
-        FaultProxy link = proxyTo(started.address());
+        FaultProxy link = Cluster.proxyTo(started.address());
         started.publishAt(link.address());
         servers[server] = started;
         serverLinks[server] = link;
@@ -84,10 +78,12 @@
         FaultProxy oldLink = serverLinks[server];
         old.drain();
         Waiting.milliseconds(DRAIN_MILLISECONDS);
-        old.close();
-        oldLink.close();
-        store.remove("servers", old.identity());
-        startServer(server);
+        synchronized (serverLinks) {
+            old.close();
+            oldLink.close();
+            store.remove("servers", old.identity());
+            startServer(server);
+        }
     }
 
     private void launch(int host) throws IOException {
@@ -135,15 +131,17 @@
     }
 
     void disturbServerLink(int server, String faults) {
-        post(serverLinks[server], faults);
+        synchronized (serverLinks) {
+            post(serverLinks[server], faults);
+        }
     }
 
     void disturbServer(int server, UpstreamFault fault) {
         servers[server].setFault(fault);
     }
 
-    private static void post(FaultProxy proxy, String faults) {
-        new TestClient(proxy.controlAddress()).post("/-/faults", faults);
+    private static void post(FaultProxy link, String faults) {
+        Cluster.post(link.controlAddress(), faults);
     }
 
     /** Writes a newer configuration, with one more route. */
