Let operators see and release requests that end servers; measure whom the rule takes for one

`quarantine list` and `quarantine release` read and remove the rows of the store, without a gateway that runs. The stand-in's backend servers end on a path by command line (--end-on).

--- a/library/src/test/java/org/siskinramp/gateway/CrashWorld.java
+++ b/library/src/test/java/org/siskinramp/gateway/CrashWorld.java
@@ -109,6 +109,10 @@
         }
     }
 
+    List<String> events() {
+        return events;
+    }
+
     /** Returns the lines that name a content as one under which a server ended. */
     List<String> crashes(String content) {
         return events.stream()
--- a/library/src/test/java/org/siskinramp/gateway/ModelServers.java
+++ b/library/src/test/java/org/siskinramp/gateway/ModelServers.java
@@ -212,6 +212,12 @@
                                     failure(AttemptFailure.CONNECTION_BROKEN)));
         }
 
+        void endIfUp() {
+            if (!down) {
+                end();
+            }
+        }
+
         /** Starts it again under the same name. */
         void startAgain() {
             down = false;
--- a/stand-in/src/main/java/org/siskinramp/standin/command/GatewayWorldCommand.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/command/GatewayWorldCommand.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.kohsuke.args4j.Option;
 import org.siskinramp.log.EventLog;
+import org.siskinramp.log.LogEvent;
 import org.siskinramp.standin.store.StoreStandIn;
 import org.siskinramp.standin.upstream.GatewayWorld;
 import org.siskinramp.standin.upstream.UpstreamStandIn;
@@ -13,6 +14,9 @@
 
     private static final int SLOTS = 4;
 
+    /** A server that ended starts again after this. */
+    private static final long AWAY_MILLISECONDS = 2_000;
+
     @Option(name = "--address", usage = "address of the store; port 0 takes a free port")
     private String address = "127.0.0.1:0";
 
@@ -22,6 +26,9 @@
     @Option(name = "--work-ms", usage = "how long a request takes, in milliseconds")
     private long workMilliseconds = 50;
 
+    @Option(name = "--end-on", usage = "beginning of the paths that end the server that gets them")
+    private String endingPrefix = "";
+
     @Override
     public int run(EventLog output) {
         StoreStandIn store = StoreStandIn.start(address);
@@ -32,6 +39,20 @@
                     new UpstreamStandIn(
                             "i-" + number, "desk", "zone-a", SLOTS, workMilliseconds, store));
         }
+        if (!endingPrefix.isEmpty()) {
+            upstreams.forEach(
+                    server ->
+                            server.endOn(
+                                    endingPrefix,
+                                    AWAY_MILLISECONDS,
+                                    requestId ->
+                                            output.record(
+                                                    LogEvent.named("ended")
+                                                            .with("request", requestId)
+                                                            .with(
+                                                                    "backend_server",
+                                                                    server.identity()))));
+        }
         return Running.untilTerminated(
                 store.address(),
                 output,
--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/CrashingRequestProcessTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/CrashingRequestProcessTest.java
@@ -205,6 +205,31 @@
         assertQuarantined("while the store is silent");
     }
 
+    private String runCommand(String... arguments) throws InterruptedException {
+        try (ProgramProcess command =
+                ProgramProcess.start(
+                        directory.resolve("command-" + requests++ + ".log"),
+                        Main.class,
+                        List.of(arguments))) {
+            TestClient.await(() -> !command.isAlive());
+            return command.text();
+        }
+    }
+
+    @Test
+    void anOperatorSeesAndReleasesIt() throws Exception {
+        sendFor(3_000);
+        String settings = directory.resolve("edge-0.toml").toString();
+        String listed = runCommand("quarantine", "list", settings);
+        assertTrue(listed.contains("refused=true"), listed);
+        assertEquals(REFUSED, send(0, CRASHING).join());
+        String content = listed.replaceAll("(?s).*content=(\\S+) route=read .*", "$1");
+        String released = runCommand("quarantine", "release", content, settings);
+        assertTrue(released.contains("event=released content=" + content), released);
+        TestClient.await(() -> send(0, CRASHING).join() != REFUSED);
+        assertTrue(runCommand("quarantine", "release", "none", settings).contains("event=failed"));
+    }
+
     @Test
     void otherRequestsOfTheSameRouteAreNotQuarantined() throws Exception {
         sendFor(4_000);
