--- a/library/src/main/java/org/siskinramp/quarantine/Quarantine.java
+++ b/library/src/main/java/org/siskinramp/quarantine/Quarantine.java
@@ -40,7 +40,7 @@
     private static final long LONGEST_MEMORY_MILLISECONDS = 24 * FIRST_TERM_MILLISECONDS;
 
     /** A report is written and read within this time, unless the store is away. */
-    private static final long UNREAD_MILLISECONDS = 15_000;
+    private static final long UNREAD_MILLISECONDS = 8_000;
 
     /** Reports and rows that were on their way when a request was acquitted have come by then. */
     private static final long ACQUITTAL_MILLISECONDS = 60_000;
