Keep refusing a request that ends servers when a host's own report of it is old

Callers saw copies of a request under which servers had ended reach servers again, 8 s after a host that reads no table had proved a crash of it.

Cause: such a host drops its own report 8 s later, since the table shows it to others only, and the drop also cleared what the readers had told it, until their next news up to 2 s later. With two such requests, each at its own hosts, each gap lets copies of both through, and with no crash on record each copy reaches two servers. The end of the refusal was not logged, since the crashes were counted after they had been dropped.

Change: only rows that are gone from the table clear what was told; the end of a refusal is logged by what it was before. Failing first: QuarantineTest refusesWithoutAGapWhatOthersTellOnceItsOwnReportIsOld (refused no more after 9 s).

--- a/library/src/main/java/org/siskinramp/quarantine/Quarantine.java
+++ b/library/src/main/java/org/siskinramp/quarantine/Quarantine.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.siskinramp.follow.Changes;
 import org.siskinramp.log.EventLog;
 import org.siskinramp.log.LogEvent;
@@ -222,10 +223,10 @@
             change.crash()
                     .ifPresentOrElse(
                             crash -> add(change.key(), crash, true),
-                            () -> dropLines((key, line) -> key.equals(change.key())));
+                            () -> release((key, line) -> key.equals(change.key())));
         }
         if (changes.whole()) {
-            dropLines((key, line) -> line.read && !keys.contains(key));
+            release((key, line) -> line.read && !keys.contains(key));
             dropTold(Set.of());
         }
         dropUnread();
@@ -258,9 +259,11 @@
 
     private void dropTold(Set<String> kept) {
         for (Map.Entry<String, Suspect> entry : List.copyOf(suspects.entrySet())) {
-            if (!kept.contains(entry.getKey()) && entry.getValue().told > 0) {
-                entry.getValue().told = 0;
-                dropIfEmpty(entry.getKey(), entry.getValue());
+            Suspect suspect = entry.getValue();
+            if (!kept.contains(entry.getKey()) && suspect.told > 0) {
+                boolean wasRefused = suspect.wasRefused();
+                suspect.told = 0;
+                dropIfEmpty(entry.getKey(), suspect, wasRefused);
             }
         }
     }
@@ -268,24 +271,33 @@
     /** Whoever reads the table had time to tell what stands there. */
     private void dropUnread() {
         long oldest = now() - UNREAD_MILLISECONDS;
-        dropLines((key, line) -> !line.read && line.addedAt < oldest);
+        dropLines((key, line) -> !line.read && line.addedAt < oldest, suspect -> {});
+    }
+
+    /** Whoever told that the request is refused counted rows that are gone from the table. */
+    private void release(LineFilter dropped) {
+        dropLines(dropped, suspect -> suspect.told = 0);
     }
 
-    private void dropLines(LineFilter dropped) {
+    private void dropLines(LineFilter dropped, Consumer<Suspect> whenDropped) {
         for (Map.Entry<String, Suspect> entry : List.copyOf(suspects.entrySet())) {
             Suspect suspect = entry.getValue();
+            boolean wasRefused = suspect.wasRefused();
             boolean removed =
                     suspect.lines
                             .entrySet()
                             .removeIf(line -> dropped.test(line.getKey(), line.getValue()));
             if (removed) {
-                suspect.told = 0;
-                dropIfEmpty(entry.getKey(), suspect);
+                whenDropped.accept(suspect);
+                dropIfEmpty(entry.getKey(), suspect, wasRefused);
             }
         }
     }
 
-    private void dropIfEmpty(String content, Suspect suspect) {
+    private void dropIfEmpty(String content, Suspect suspect, boolean wasRefused) {
+        if (wasRefused && !suspect.wasRefused()) {
+            log("quarantine_ended", content, suspect, "released");
+        }
         if (suspect.crashes() == 0) {
             remove(content, "released");
         }
--- a/library/src/test/java/org/siskinramp/quarantine/QuarantineTest.java
+++ b/library/src/test/java/org/siskinramp/quarantine/QuarantineTest.java
@@ -127,6 +127,23 @@
         assertFalse(quarantine.refuses("a"));
     }
 
+    /** A host that reads no table is told that others keep on refusing what it proved a part of. */
+    @Test
+    void refusesWithoutAGapWhatOthersTellOnceItsOwnReportIsOld() {
+        List<QuarantinedContent> told = List.of(new QuarantinedContent("a", "read", 4));
+        quarantine.add(List.of(crash("a", 1)));
+        for (int second = 0; second < 60; second++) {
+            quarantine.followTold(told, true);
+            assertTrue(quarantine.refuses("a"), "after " + second + " s");
+            time.advance(1_000);
+        }
+        assertEquals(1, events.size());
+        quarantine.followTold(List.of(), true);
+        assertFalse(quarantine.refuses("a"));
+        assertEquals(2, events.size());
+        assertTrue(events.get(1).startsWith("event=quarantine_ended content=a"));
+    }
+
     @Test
     void tenThousandRequestsThatEndServersAreBounded() {
         for (int content = 0; content < 10_000; content++) {
--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/CrashingRequestProcessTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/CrashingRequestProcessTest.java
@@ -12,13 +12,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.IntUnaryOperator;
+import java.util.function.LongSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.siskinramp.adapter.Main;
 import org.siskinramp.standin.TestClient;
 import org.siskinramp.standin.store.StoreFault;
@@ -53,6 +58,8 @@
     private final List<ProgramProcess> gateways = new ArrayList<>();
     private final List<TestClient> callers = new ArrayList<>();
     private final List<Long> arrivals = new CopyOnWriteArrayList<>();
+    private final Map<String, List<Long>> arrivalsByPath = new ConcurrentHashMap<>();
+    private final Map<String, String> paths = new ConcurrentHashMap<>();
     private final Set<String> arrived = ConcurrentHashMap.newKeySet();
     private final Map<String, CompletableFuture<Integer>> crashing = new LinkedHashMap<>();
     private final List<CompletableFuture<Integer>> answers = new ArrayList<>();
@@ -76,6 +83,10 @@
                     requestId -> {
                         arrived.add(requestId);
                         arrivals.add(nowMilliseconds());
+                        arrivalsByPath
+                                .computeIfAbsent(
+                                        paths.get(requestId), path -> new CopyOnWriteArrayList<>())
+                                .add(nowMilliseconds());
                     });
             servers.add(server);
         }
@@ -119,8 +130,10 @@
     }
 
     private CompletableFuture<Integer> send(int host, String path) {
+        String requestId = "request-" + ++requests;
+        paths.put(requestId, path);
         return callers.get(host)
-                .send("GET", path, "", "X-Siskinramp-Request-Id", "request-" + ++requests)
+                .send("GET", path, "", "X-Siskinramp-Request-Id", requestId)
                 .thenApply(answer -> answer.statusCode());
     }
 
@@ -138,16 +151,31 @@
     }
 
     private void assertQuarantined(String when) {
+        assertQuarantined(when, arrivals);
+    }
+
+    private static void assertQuarantined(String when, List<Long> arrivals) {
         assertTrue(arrivals.size() >= ENDS, when + ": arrivals " + arrivals.size());
         long known = arrivals.get(ENDS - 1) + CONTACT_MILLISECONDS;
         long later = arrivals.stream().filter(at -> at > known).count();
         assertTrue(
                 later <= LATER_ARRIVALS,
-                when + ": late " + later + ", arrivals after the first in ms " + offsets());
+                when
+                        + ": late "
+                        + later
+                        + ", arrivals after the first in ms "
+                        + arrivals.stream().map(at -> at - arrivals.get(0)).toList());
     }
 
-    private List<Long> offsets() {
-        return arrivals.stream().map(at -> at - arrivals.get(0)).toList();
+    private void assertNoneIsReleased() {
+        for (ProgramProcess gateway : gateways) {
+            List<String> ended =
+                    gateway.text()
+                            .lines()
+                            .filter(line -> line.contains("quarantine_ended"))
+                            .toList();
+            assertEquals(List.of(), ended);
+        }
     }
 
     /** A refusal says that the request has not run and never will. */
@@ -172,6 +200,47 @@
         assertOthersAreServed();
     }
 
+    /** Sends several requests that end servers by turns, beside ordinary ones. */
+    private void sendSeveralFor(
+            long milliseconds, int contents, IntUnaryOperator hosts, LongSupplier gap)
+            throws InterruptedException {
+        long end = nowMilliseconds() + milliseconds;
+        for (int turn = 0; nowMilliseconds() < end; turn++) {
+            CompletableFuture<Integer> answer =
+                    send(hosts.applyAsInt(turn), CRASHING + "-" + turn % contents);
+            crashing.put("request-" + requests, answer);
+            for (int host = 0; host < HOSTS; host++) {
+                answers.add(send(host, "/read/calm-" + requests));
+            }
+            Thread.sleep(gap.getAsLong());
+        }
+    }
+
+    private void assertSeveralQuarantined(int contents, IntUnaryOperator hosts, LongSupplier gap)
+            throws InterruptedException {
+        sendSeveralFor(10_000, contents, hosts, gap);
+        answers.clear();
+        sendSeveralFor(6_000, contents, hosts, gap);
+        assertEquals(contents, arrivalsByPath.size());
+        arrivalsByPath.forEach(CrashingRequestProcessTest::assertQuarantined);
+        assertNoneIsReleased();
+        assertRefusalsAreTrue();
+        assertOthersAreServed();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"2, 21", "2, 31", "3, 41"})
+    void severalSuchRequestsAtAnyHostReachHardlyAnyMore(int contents, long seed) throws Exception {
+        SplittableRandom random = new SplittableRandom(seed);
+        assertSeveralQuarantined(
+                contents, turn -> random.nextInt(HOSTS), () -> random.nextLong(GAP_MILLISECONDS));
+    }
+
+    @Test
+    void twoSuchRequestsEachAtItsOwnHostsReachHardlyAnyMore() throws Exception {
+        assertSeveralQuarantined(2, turn -> turn % HOSTS, () -> GAP_MILLISECONDS);
+    }
+
     @Test
     void hostsThatStartAgainKnowWhichRequestEndsServers() throws Exception {
         sendFor(5_000);
