Prove ends of servers that cut connections or go silent, and spare a second server

Callers: a copy of a request that ends servers went on to reach others for as long as its servers did not refuse connections afterwards.

Cause: only two probes, 20 and 200 ms after a break, looked for the end, and only a refused connection or another server counted; a server that accepted and cut connections was proved by its lapsed entry or next start, and one that went silent left no doubt at all, since only breaks were taken as signs. A body that changes each time is new each time, and each copy got two servers.

Change: silence is a doubt too; probes go on for 6 s; probes that all fail for 1 s after a break prove the end; after three servers ended under a route in 10 s a request of it that breaks is not sent on.

--- a/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
+++ b/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
@@ -150,6 +150,8 @@
                                 .with("content", attempt.run().request().contentHash()));
         if (kind.isBreak()) {
             crashes.broke(attempt, effects);
+        } else if (kind == AttemptFailure.TIMED_OUT) {
+            crashes.wentSilent(attempt, effects);
         } else {
             crashes.failed(attempt.server(), kind, effects);
         }
--- a/library/src/main/java/org/siskinramp/gateway/CrashWatch.java
+++ b/library/src/main/java/org/siskinramp/gateway/CrashWatch.java
@@ -1,6 +1,9 @@
 package org.siskinramp.gateway;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -27,15 +30,21 @@
     /** The entry of a server that ended lapses after three heartbeats of 1.5 s, and is read. */
     private static final long DOUBT_MILLISECONDS = 10_000;
 
-    /** A process that ends cuts its connections some milliseconds before its address is free. */
-    private static final long FIRST_PROBE_MILLISECONDS = 20;
+    /**
+     * When a doubted server is probed. A process that ends cuts its connections some milliseconds
+     * before its address is free, and is away for seconds; the later probes find its next start.
+     */
+    private static final long[] PROBES_AFTER_MILLISECONDS = {20, 200, 600, 1_400, 3_000, 6_000};
 
-    /** Far below the seconds for which a server that ended is away. */
-    private static final long SECOND_PROBE_MILLISECONDS = 200;
+    /** Breaks this soon after another one of the same server are covered by its probes. */
+    private static final long PROBED_MILLISECONDS = 200;
 
     /** A full server that resets surplus connections has accepted others by then. */
     private static final long UNREACHABLE_MILLISECONDS = 100;
 
+    /** A full server that cuts each new connection has room again by then. */
+    private static final long CUTTING_MILLISECONDS = 1_000;
+
     /** Content that any server ran to its end this long before a crash did not cause it. */
     private static final long INNOCENCE_MILLISECONDS = 10_000;
 
@@ -51,6 +60,7 @@
     private final CrashReporter reporter;
     private final Map<String, Doubts> doubtsByServer = new LinkedHashMap<>();
     private final Map<String, Long> completions = new LinkedHashMap<>();
+    private final Map<String, RouteCrashes> crashesByRoute = new HashMap<>();
 
     CrashWatch(
             GatewayEnvironment environment,
@@ -84,12 +94,17 @@
 
     /**
      * Tells whether a request whose connection broke may end another server. One server that ended
-     * under it ends by chance far more often than by it, so that one repeat is worth its risk.
+     * under it ends by chance far more often than by it, so that one repeat is worth its risk;
+     * unless several have ended under other requests of its route, which differ from each other.
      */
     boolean mayEndAnother(GatewayRun run) {
         String content = run.request().contentHash();
+        if (hasCompletedSince(content, now())) {
+            return false;
+        }
+        RouteCrashes ofRoute = crashesByRoute.get(run.route().name());
         return quarantine.crashes(content) + doubts(content) > 1
-                && !hasCompletedSince(content, now());
+                || (ofRoute != null && ofRoute.areMany(now()));
     }
 
     private int doubts(String content) {
@@ -104,23 +119,33 @@
 
     /** Notes that the connection broke on which a server had got a request. */
     void broke(AttemptDesk.Open attempt, Effects effects) {
+        doubt(attempt, true, effects);
+    }
+
+    /** Notes that a server that had got a request was silent to the end of the request's time. */
+    void wentSilent(AttemptDesk.Open attempt, Effects effects) {
+        doubt(attempt, false, effects);
+    }
+
+    private void doubt(AttemptDesk.Open attempt, boolean broken, Effects effects) {
         long now = now();
         KnownServer server = attempt.server();
         if (!server.isPresent(now)) {
             return;
         }
         Doubts doubts = doubtsByServer.get(server.server().name());
-        boolean probed = doubts != null && now - doubts.begunAt < SECOND_PROBE_MILLISECONDS;
+        boolean probed = doubts != null && now - doubts.begunAt < PROBED_MILLISECONDS;
         if (!probed) {
             doubts = doubts == null ? new Doubts() : doubts;
             doubts.begunAt = now;
             doubtsByServer.put(server.server().name(), doubts);
             dropOldest(doubtsByServer, SERVERS_DOUBTED_AT_MOST);
-            probeAfter(FIRST_PROBE_MILLISECONDS, server, effects);
-            probeAfter(SECOND_PROBE_MILLISECONDS, server, effects);
+            for (long delay : PROBES_AFTER_MILLISECONDS) {
+                probeAfter(delay, server, effects);
+            }
         }
         if (doubts.list.size() < DOUBTS_OF_A_SERVER_AT_MOST) {
-            doubts.list.add(new Doubt(crashOf(attempt), now));
+            doubts.list.add(new Doubt(crashOf(attempt), now, broken));
         }
     }
 
@@ -161,6 +186,20 @@
             lives(server, sentAt);
         } else {
             failed(server, AttemptException.from(failure).failure(), effects);
+            cutsConnections(server.server().name(), effects);
+        }
+    }
+
+    /** A server that answers no probe for a while after it cut a request's connection is gone. */
+    private void cutsConnections(String server, Effects effects) {
+        Doubts doubts = doubtsByServer.get(server);
+        if (doubts == null || doubts.list.stream().noneMatch(Doubt::broken)) {
+            return;
+        }
+        if (doubts.failingSince == Doubts.NEVER) {
+            doubts.failingSince = now();
+        } else if (now() - doubts.failingSince >= CUTTING_MILLISECONDS) {
+            ended(server, "cuts_connections", effects);
         }
     }
 
@@ -169,6 +208,7 @@
         if (doubts != null) {
             doubts.list.removeIf(doubt -> doubt.brokenAt <= sinceMilliseconds);
             doubts.unreachableAt = Doubts.NEVER;
+            doubts.failingSince = Doubts.NEVER;
             if (doubts.list.isEmpty()) {
                 doubtsByServer.remove(server.server().name());
             }
@@ -210,6 +250,14 @@
             }
         }
         if (!proved.isEmpty()) {
+            proved.stream()
+                    .map(Crash::route)
+                    .distinct()
+                    .forEach(
+                            route ->
+                                    crashesByRoute
+                                            .computeIfAbsent(route, name -> new RouteCrashes())
+                                            .add(now));
             quarantine.add(proved);
             effects.add(() -> reporter.report(proved));
         }
@@ -262,6 +310,7 @@
     void sweep() {
         long now = now();
         doubtsByServer.values().removeIf(doubts -> now - doubts.begunAt > DOUBT_MILLISECONDS);
+        crashesByRoute.values().removeIf(crashes -> crashes.isOver(now));
     }
 
     private static void dropOldest(Map<String, ?> entries, int limit) {
@@ -276,7 +325,31 @@
         return environment.clock().monotonicMilliseconds();
     }
 
-    private record Doubt(Crash crash, long brokenAt) {}
+    private record Doubt(Crash crash, long brokenAt, boolean broken) {}
+
+    /** Counts the servers that ended a short while ago under requests of one route. */
+    private static final class RouteCrashes {
+
+        private static final int MANY = 3;
+        private static final long MEMORY_MILLISECONDS = 10_000;
+
+        private final Deque<Long> times = new ArrayDeque<>();
+
+        private void add(long now) {
+            times.addLast(now);
+            if (times.size() > MANY) {
+                times.removeFirst();
+            }
+        }
+
+        private boolean areMany(long now) {
+            return times.size() >= MANY && now - times.peekFirst() <= MEMORY_MILLISECONDS;
+        }
+
+        private boolean isOver(long now) {
+            return now - times.peekLast() > MEMORY_MILLISECONDS;
+        }
+    }
 
     /** Holds the requests under which the connections of one server broke. */
     private static final class Doubts {
@@ -286,5 +359,6 @@
         private final List<Doubt> list = new ArrayList<>();
         private long begunAt;
         private long unreachableAt = NEVER;
+        private long failingSince = NEVER;
     }
 }
--- a/library/src/test/java/org/siskinramp/gateway/CrashInnocentsTest.java
+++ b/library/src/test/java/org/siskinramp/gateway/CrashInnocentsTest.java
@@ -27,10 +27,10 @@
 
     private final CrashWorld world = new CrashWorld();
 
-    private void play(long seed) {
+    private void play(long seed, ModelServers.End end) {
         SplittableRandom random = new SplittableRandom(seed);
         for (int number = 0; number < SERVERS; number++) {
-            world.publish("server-" + number);
+            world.publish("server-" + number).endsAs(end);
         }
         for (long now = 0; now < PLAYED_MILLISECONDS; now += 5) {
             String content =
@@ -70,7 +70,23 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
     void noneIsRefused(long seed) {
-        play(seed);
+        assertNoneRefused(seed, ModelServers.End.REFUSES);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void noneIsRefusedWhenServersThatEndedCutConnections(long seed) {
+        assertNoneRefused(seed, ModelServers.End.CUTS);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void noneIsRefusedWhenServersThatEndedAreSilent(long seed) {
+        assertNoneRefused(seed, ModelServers.End.SILENT);
+    }
+
+    private void assertNoneRefused(long seed, ModelServers.End end) {
+        play(seed, end);
         assertTrue(contentsWithThree("event=crash ", "event=crash_excused ") > 0, "servers ended");
         assertEquals(0, contentsWithThree("event=quarantined "));
         assertEquals(
--- a/library/src/test/java/org/siskinramp/gateway/CrashingRequestTest.java
+++ b/library/src/test/java/org/siskinramp/gateway/CrashingRequestTest.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.CompletionException;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.siskinramp.request.Answer;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.result.ResultException;
@@ -47,6 +49,27 @@
         assertTrue(runs() <= ENDS + 1, "servers that ended: " + runs());
     }
 
+    /** A copy that reaches a silent server holds its caller for the whole time of the request. */
+    @ParameterizedTest
+    @CsvSource({"CUTS, 8", "SILENT, 9"})
+    void isRefusedHoweverTheServersThatEndedAppear(ModelServers.End end, int ends) {
+        world.servers().all().forEach(server -> server.endsAs(end));
+        sendCopies(60);
+        assertTrue(runs() <= ends, "servers that ended: " + runs());
+    }
+
+    /** Nothing tells it from the others of its route, but it is not sent to a second server. */
+    @Test
+    void reachesOneServerEachTimeIfItsBodyChangesEachTime() {
+        int copies = 30;
+        for (int copy = 0; copy < copies; copy++) {
+            var unused = world.send(FATAL + copy);
+            world.restartEnded(AWAY_MILLISECONDS);
+            world.time().advance(GAP_MILLISECONDS);
+        }
+        assertTrue(runs() <= copies + ENDS, "servers that ended: " + runs());
+    }
+
     @Test
     void isRefusedAsNotRunAndToldToStayAway() {
         sendCopies(10);
--- a/library/src/test/java/org/siskinramp/gateway/ModelServers.java
+++ b/library/src/test/java/org/siskinramp/gateway/ModelServers.java
@@ -33,6 +33,13 @@
     private static final int OK = 200;
     private static final int SERVER_ERROR = 500;
 
+    /** What others see of a server that has ended. */
+    enum End {
+        REFUSES,
+        CUTS,
+        SILENT
+    }
+
     /** What a server does with the requests that it gets. */
     enum Behaviour {
         ANSWER,
@@ -112,7 +119,9 @@
         time.schedule(
                 2 * WAY_MILLISECONDS,
                 () -> {
-                    if (model.down || model.behaviour == Behaviour.REFUSE_CONNECTIONS) {
+                    if (model.down) {
+                        report.completeExceptionally(model.failure(model.failureOfProbes()));
+                    } else if (model.behaviour == Behaviour.REFUSE_CONNECTIONS) {
                         report.completeExceptionally(
                                 model.failure(AttemptFailure.CONNECTION_REFUSED));
                     } else {
@@ -143,6 +152,7 @@
         private String fatalContent = "none";
         private int starts = 1;
         private boolean down;
+        private End end = End.REFUSES;
         private Behaviour behaviour = Behaviour.ANSWER;
 
         private Model(String name, String zone, int slots, long workMilliseconds) {
@@ -193,12 +203,26 @@
             return this;
         }
 
-        /** Lets it end under each request of some content. */
+        /** Lets it end under each request whose content begins so. */
         Model endOn(String content) {
             fatalContent = content;
             return this;
         }
 
+        /** Sets what others see once it has ended. */
+        Model endsAs(End value) {
+            end = value;
+            return this;
+        }
+
+        private AttemptFailure failureOfProbes() {
+            return switch (end) {
+                case REFUSES -> AttemptFailure.CONNECTION_REFUSED;
+                case CUTS -> AttemptFailure.CONNECTION_BROKEN;
+                case SILENT -> AttemptFailure.TIMED_OUT;
+            };
+        }
+
         /** Ends it: connections break and none is accepted until it starts again. */
         void end() {
             down = true;
@@ -206,6 +230,9 @@
             waiting.clear();
             List<CompletableFuture<AttemptAnswer>> broken = List.copyOf(inProgress.values());
             inProgress.clear();
+            if (end == End.SILENT) {
+                return;
+            }
             broken.forEach(
                     answer ->
                             answer.completeExceptionally(
@@ -273,6 +300,8 @@
         private void arrive(Attempt attempt, CompletableFuture<AttemptAnswer> answer) {
             if (!attempt.isPermitted()) {
                 answer.completeExceptionally(failure(AttemptFailure.NOT_PERMITTED));
+            } else if (down && end == End.CUTS) {
+                answer.completeExceptionally(failure(AttemptFailure.CONNECTION_BROKEN));
             } else if (down || behaviour == Behaviour.REFUSE_CONNECTIONS) {
                 answer.completeExceptionally(failure(AttemptFailure.CONNECTION_REFUSED));
             } else if (behaviour == Behaviour.SHED
@@ -282,7 +311,10 @@
             } else {
                 arrivals.add(time.monotonicMilliseconds());
                 inProgress.put(attempt.number(), answer);
-                if (attempt.request().contentHash().equals(fatalContent)) {
+                if (end == End.SILENT) {
+                    timeOut(attempt, answer);
+                }
+                if (attempt.request().contentHash().startsWith(fatalContent)) {
                     runs++;
                     end();
                 } else if (running < slots) {
@@ -294,6 +326,12 @@
             }
         }
 
+        private void timeOut(Attempt attempt, CompletableFuture<AttemptAnswer> answer) {
+            time.schedule(
+                    Math.max(0, attempt.deadlineMilliseconds() - time.monotonicMilliseconds()),
+                    () -> answer.completeExceptionally(failure(AttemptFailure.TIMED_OUT)));
+        }
+
         private void run(long attempt, CompletableFuture<AttemptAnswer> answer) {
             running++;
             runs++;
