Stop sending to servers that announce their end or ask for a pause

Cause: the headers were not read. Change: the adapter reads them from answers that are surely the server's own (an answer of another server that has the address counts for that one, if it names itself); the library keeps them by start of the server, beyond its entry, asks again as the first byte goes out, sends no probes into a pause, spreads the returns of hosts and begins with one request at a time. If all servers pause callers are refused at once until the first returns, spread.

Tests: ServerWishesTest, virtual time; its interface did not exist before.

--- a/library/src/main/java/org/siskinramp/fleet/Fleet.java
+++ b/library/src/main/java/org/siskinramp/fleet/Fleet.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -69,12 +70,13 @@
     }
 
     /**
-     * Forgets the servers that are gone and have no request of this host.
+     * Forgets the servers that are gone, have no request of this host, and did not just ask for
+     * something.
      *
      * @param now monotonic milliseconds
      */
     public void sweep(long now) {
-        if (servers.values().removeIf(server -> server.isGone(now) && server.inFlight() == 0)) {
+        if (servers.values().removeIf(server -> server.isGone(now) && !server.isKept(now))) {
             index();
         }
     }
@@ -168,10 +170,28 @@
      *
      * @param server the server
      * @param now monotonic milliseconds
-     * @return true if it is present and in no evacuated availability zone
+     * @return true if it is present, asked for no pause and is in no evacuated availability zone
      */
     public boolean isUsable(KnownServer server, long now) {
+        return isWanted(server, now) && !server.isPaused(now);
+    }
+
+    private boolean isWanted(KnownServer server, long now) {
         return server.isPresent(now)
                 && !evacuatedZones.contains(server.server().availabilityZone());
     }
+
+    /**
+     * Returns when the first server of a service may get requests again that asked for a pause.
+     *
+     * @param service the service
+     * @param now monotonic milliseconds
+     * @return monotonic milliseconds, or empty if none of them pauses
+     */
+    public OptionalLong firstReturn(String service, long now) {
+        return byService.getOrDefault(service, List.of()).stream()
+                .filter(server -> isWanted(server, now) && server.isPaused(now))
+                .mapToLong(KnownServer::pausedUntil)
+                .min();
+    }
 }
--- a/library/src/main/java/org/siskinramp/fleet/KnownServer.java
+++ b/library/src/main/java/org/siskinramp/fleet/KnownServer.java
@@ -26,6 +26,14 @@
     /** The share of failed attempts from which a server is passed over while others are free. */
     private static final double FAILING_SHARE = 0.3;
 
+    /** After a pause it is sent one request at a time for this long. */
+    private static final long RETURN_MILLISECONDS = 1_000;
+
+    /** For how long what it announced is kept once its entry is gone, which may come back. */
+    private static final long WISHES_KEPT_MILLISECONDS = 600_000;
+
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
     private ServerEntry entry;
     private long coldUntil;
     private long goneAt = Long.MAX_VALUE;
@@ -42,6 +50,8 @@
     private boolean ill;
     private double failureShare;
     private long failedAt;
+    private boolean departing;
+    private long pausedUntil = NEVER;
 
     KnownServer(ServerEntry entry, long now) {
         this.entry = entry;
@@ -64,6 +74,14 @@
         suspectUntil = Long.MIN_VALUE / 2;
         suspicion = FIRST_SUSPICION_MILLISECONDS;
         failureShare = 0;
+        departing = false;
+        pausedUntil = NEVER;
+    }
+
+    /** Tells whether it must not be forgotten though its entry is gone. */
+    boolean isKept(long now) {
+        boolean wishes = departing || isPaused(now);
+        return inFlight > 0 || (wishes && now - goneAt < WISHES_KEPT_MILLISECONDS);
     }
 
     void leaveAt(long milliseconds) {
@@ -106,10 +124,57 @@
      * Tells whether it may get new requests at all.
      *
      * @param now monotonic milliseconds
-     * @return false once it drains or its entry is gone
+     * @return false once it drains, announced its end, or its entry is gone
      */
     public boolean isPresent(long now) {
-        return !entry.leaving() && !isGone(now);
+        return !entry.leaving() && !departing && !isGone(now);
+    }
+
+    /**
+     * Tells whether it asked for a pause that is not over.
+     *
+     * @param now monotonic milliseconds
+     * @return true while it wants no request of this host
+     */
+    public boolean isPaused(long now) {
+        return now < pausedUntil;
+    }
+
+    /**
+     * Returns when its pause ends.
+     *
+     * @return monotonic milliseconds; long ago if it asked for none
+     */
+    public long pausedUntil() {
+        return pausedUntil;
+    }
+
+    /**
+     * Takes in that it ends soon. This start of it gets no new request any more, whatever its entry
+     * says.
+     *
+     * @return true if this was not known
+     */
+    public boolean depart() {
+        boolean fresh = !departing;
+        departing = true;
+        return fresh;
+    }
+
+    /**
+     * Takes in that it wants no request for a time. Of several such times the last end counts.
+     *
+     * @param milliseconds when the time ends, in monotonic milliseconds
+     * @return true if it ends later than was known
+     */
+    public boolean pauseUntil(long milliseconds) {
+        boolean longer = milliseconds > pausedUntil;
+        pausedUntil = Math.max(pausedUntil, milliseconds);
+        return longer;
+    }
+
+    private boolean isReturning(long now) {
+        return now < pausedUntil + RETURN_MILLISECONDS;
     }
 
     /**
@@ -126,10 +191,14 @@
      * Tells whether it should be passed over while others are free.
      *
      * @param now monotonic milliseconds
-     * @return true after failures, and while it says that it is ill
+     * @return true after failures, while it says that it is ill, and just after a pause if it runs
+     *     a request of this host
      */
     public boolean isSuspect(long now) {
-        return ill || now < suspectUntil || failureShare(now) > FAILING_SHARE;
+        return ill
+                || now < suspectUntil
+                || failureShare(now) > FAILING_SHARE
+                || (inFlight > 0 && isReturning(now));
     }
 
     private double failureShare(long now) {
--- a/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
+++ b/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
@@ -25,6 +25,7 @@
     private final Fleet fleet;
     private final Locked locked;
     private final CrashWatch crashes;
+    private final ServerWishes wishes;
     private final EndListener listener;
     private final Map<Long, Open> open = new HashMap<>();
 
@@ -33,11 +34,13 @@
             Fleet fleet,
             Locked locked,
             CrashWatch crashes,
+            ServerWishes wishes,
             EndListener listener) {
         this.environment = environment;
         this.fleet = fleet;
         this.locked = locked;
         this.crashes = crashes;
+        this.wishes = wishes;
         this.listener = listener;
     }
 
@@ -120,6 +123,7 @@
         long now = environment.clock().monotonicMilliseconds();
         int status = answer.answer().status();
         attempt.server().seeAnswer(answer.loadReport(), now);
+        wishes.take(attempt.server(), answer.loadReport());
         if (status >= FIRST_SERVER_ERROR) {
             attempt.server().fail(now);
         } else {
@@ -136,7 +140,10 @@
             Open attempt, AttemptException failure, boolean idempotent, Effects effects) {
         long now = environment.clock().monotonicMilliseconds();
         AttemptFailure kind = failure.failure();
-        attempt.server().see(failure.loadReport(), now);
+        if (kind != AttemptFailure.WRONG_SERVER) {
+            attempt.server().see(failure.loadReport(), now);
+        }
+        wishes.take(attempt.server(), failure.loadReport());
         if (!kind.isArrival() || kind == AttemptFailure.WRONG_SERVER) {
             attempt.server().suspect(now);
         } else if (kind != AttemptFailure.CANCELLED) {
--- a/library/src/main/java/org/siskinramp/gateway/CrashWatch.java
+++ b/library/src/main/java/org/siskinramp/gateway/CrashWatch.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import org.siskinramp.attempt.AttemptException;
 import org.siskinramp.attempt.AttemptFailure;
+import org.siskinramp.attempt.LoadReport;
 import org.siskinramp.fleet.KnownServer;
 import org.siskinramp.log.Counter;
 import org.siskinramp.log.LogEvent;
@@ -56,6 +57,7 @@
 
     private final GatewayEnvironment environment;
     private final Locked locked;
+    private final ServerWishes wishes;
     private final Quarantine quarantine;
     private final CrashReporter reporter;
     private final Map<String, Doubts> doubtsByServer = new LinkedHashMap<>();
@@ -65,10 +67,12 @@
     CrashWatch(
             GatewayEnvironment environment,
             Locked locked,
+            ServerWishes wishes,
             Quarantine quarantine,
             CrashReporter reporter) {
         this.environment = environment;
         this.locked = locked;
+        this.wishes = wishes;
         this.quarantine = quarantine;
         this.reporter = reporter;
     }
@@ -168,7 +172,7 @@
     }
 
     private void probe(KnownServer server, Effects effects) {
-        if (!doubtsByServer.containsKey(server.server().name())) {
+        if (!doubtsByServer.containsKey(server.server().name()) || server.isPaused(now())) {
             return;
         }
         long sentAt = now();
@@ -178,11 +182,21 @@
                         Futures.whenDone(
                                 environment.backendServerLink().probe(server.server()),
                                 (report, failure) ->
-                                        locked.run(held -> probed(server, sentAt, failure, held))));
+                                        locked.run(
+                                                held ->
+                                                        probed(
+                                                                server, sentAt, report, failure,
+                                                                held))));
     }
 
-    private void probed(KnownServer server, long sentAt, Throwable failure, Effects effects) {
+    private void probed(
+            KnownServer server,
+            long sentAt,
+            LoadReport report,
+            Throwable failure,
+            Effects effects) {
         if (failure == null) {
+            wishes.take(server, report);
             lives(server, sentAt);
         } else {
             failed(server, AttemptException.from(failure).failure(), effects);
--- a/library/src/main/java/org/siskinramp/gateway/Gateway.java
+++ b/library/src/main/java/org/siskinramp/gateway/Gateway.java
@@ -47,6 +47,7 @@
     private volatile RouteTable routes = RouteTable.EMPTY;
     private final HostCount hosts;
     private final Quarantine quarantine;
+    private final ServerWishes wishes;
     private final CrashWatch crashes;
     private int inProgress;
 
@@ -89,7 +90,8 @@
                         environment.clock().monotonicMilliseconds(),
                         options.retryWindowMilliseconds());
         this.quarantine = quarantine;
-        this.crashes = new CrashWatch(environment, this::locked, quarantine, reporter);
+        this.wishes = new ServerWishes(environment, fleet);
+        this.crashes = new CrashWatch(environment, this::locked, wishes, quarantine, reporter);
     }
 
     /**
@@ -296,7 +298,8 @@
                                 this::locked,
                                 this::routes,
                                 hosts,
-                                crashes));
+                                crashes,
+                                wishes));
     }
 
     /**
--- a/library/src/main/java/org/siskinramp/gateway/RunEnds.java
+++ b/library/src/main/java/org/siskinramp/gateway/RunEnds.java
@@ -39,6 +39,13 @@
         refuseFor(run, code, reason, wait, effects);
     }
 
+    /** Refuses a request until a known time, after which the callers come back one by one. */
+    void refuseUntilReturn(
+            GatewayRun run, ResultCode code, String reason, long milliseconds, Effects effects) {
+        long spread = ReturnTime.milliseconds(0, environment.random());
+        refuseFor(run, code, reason, Math.max(0, milliseconds) + spread, effects);
+    }
+
     /** Refuses a request that would end the server that runs it, for as long as that is so. */
     void holdBack(GatewayRun run, long milliseconds, Effects effects) {
         refuseFor(run, ResultCode.QUARANTINED, "quarantined", milliseconds, effects);
--- a/library/src/main/java/org/siskinramp/gateway/SearchDesk.java
+++ b/library/src/main/java/org/siskinramp/gateway/SearchDesk.java
@@ -76,6 +76,7 @@
     private final GatewayOptions options;
     private final Locked locked;
     private final CrashWatch crashes;
+    private final ServerWishes wishes;
     private final TokenBucket probeBudget = new TokenBucket(PROBES_KEPT);
     private int searches;
 
@@ -84,12 +85,14 @@
             GatewayEnvironment environment,
             GatewayOptions options,
             Locked locked,
-            CrashWatch crashes) {
+            CrashWatch crashes,
+            ServerWishes wishes) {
         this.pool = pool;
         this.environment = environment;
         this.options = options;
         this.locked = locked;
         this.crashes = crashes;
+        this.wishes = wishes;
     }
 
     /** Lets a new request pay for its probes, so that no host has to know how many others probe. */
@@ -190,9 +193,11 @@
             round.answers++;
             server.seeAnswer(report, now);
             server.tellHealth(!report.leaving());
+            wishes.take(server, report);
         } else {
             AttemptException cause = AttemptException.from(failure);
             server.see(cause.loadReport(), now);
+            wishes.take(server, cause.loadReport());
             server.suspect(now);
             crashes.failed(server, cause.failure(), effects);
         }
--- a/library/src/main/java/org/siskinramp/gateway/ServerScope.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServerScope.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.Predicate;
 import org.siskinramp.fleet.Fleet;
 import org.siskinramp.fleet.KnownServer;
@@ -42,6 +43,11 @@
         return !fleet.hasUsable(service, now);
     }
 
+    /** Returns when the first server that asked for a pause may get requests again. */
+    OptionalLong firstReturn(long now) {
+        return fleet.firstReturn(service, now);
+    }
+
     /** Tells whether a server that just answered may get another request at once. */
     boolean isHealthy(KnownServer server, long now) {
         return fleet.isUsable(server, now) && !server.isCold(now) && !server.isSuspect(now);
--- a/library/src/main/java/org/siskinramp/gateway/ServicePool.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServicePool.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -67,7 +68,8 @@
             Locked locked,
             Supplier<RouteTable> routes,
             HostCount hosts,
-            CrashWatch crashes) {
+            CrashWatch crashes,
+            ServerWishes wishes) {
         this.service = service;
         this.environment = environment;
         this.options = options;
@@ -76,11 +78,11 @@
         this.hosts = hosts;
         this.crashes = crashes;
         scope = new ServerScope(service, environment, options, fleet, newColdRate());
-        desk = new AttemptDesk(environment, fleet, locked, crashes, this);
+        desk = new AttemptDesk(environment, fleet, locked, crashes, wishes, this);
         ends = new RunEnds(environment);
         placement = new PlacementChoice(environment.availabilityZone(), limit);
         retryBudget = new RetryBudget(options.retryShare(), options.retryWindowMilliseconds());
-        searches = new SearchDesk(this, environment, options, locked, crashes);
+        searches = new SearchDesk(this, environment, options, locked, crashes, wishes);
     }
 
     PlacementChoice placement() {
@@ -102,7 +104,7 @@
         }
         crashes.admit(run);
         if (scope.isEmpty(now)) {
-            ends.refuse(run, ResultCode.NO_BACKEND_SERVER, "no_backend_server", 0, effects);
+            refuseWithoutServer(run, effects);
             return;
         }
         long latestStart = latestStart(run);
@@ -222,6 +224,17 @@
         }
     }
 
+    /** Refuses a request while no server may get one; pauses tell when that ends. */
+    private void refuseWithoutServer(GatewayRun run, Effects effects) {
+        OptionalLong until = scope.firstReturn(now());
+        if (until.isPresent()) {
+            long wait = until.getAsLong() - now();
+            ends.refuseUntilReturn(run, ResultCode.NO_BACKEND_SERVER, "all_pause", wait, effects);
+        } else {
+            ends.refuse(run, ResultCode.NO_BACKEND_SERVER, "no_backend_server", 0, effects);
+        }
+    }
+
     /** Refuses the waiting requests that are held back from now on. */
     void refuseHeldBack(Effects effects) {
         Optional<GatewayRun> next = queue.findFirst(crashes::holdsBack);
@@ -259,7 +272,11 @@
         if (queue.size() > 0 && scope.isEmpty(now())) {
             for (GatewayRun run : queue.takeAll()) {
                 run.endWaiting();
-                giveUp(run, ResultCode.NO_BACKEND_SERVER, "no_backend_server", effects);
+                if (run.mayHaveRun()) {
+                    ends.fail(run, ResultCode.BACKEND_SERVER_FAILED, "no_backend_server", effects);
+                } else {
+                    refuseWithoutServer(run, effects);
+                }
             }
         }
         searches.startFor(queue, effects);
--- a/library/src/main/java/org/siskinramp/log/Counter.java
+++ b/library/src/main/java/org/siskinramp/log/Counter.java
@@ -28,6 +28,12 @@
     CRASHES,
     /** Requests under which a backend server ended, and which others had run to their end. */
     CRASHES_EXCUSED,
+    /** Backend servers that announced their end in an answer. */
+    SERVERS_DEPARTING,
+    /** Pauses that backend servers asked for. */
+    SERVERS_PAUSED,
+    /** Backend servers put aside since an answer of theirs did not end. */
+    SERVERS_PUT_ASIDE,
     /** Requests that waited for a slot. */
     WAITS,
     /** Slots asked for from other hosts. */
--- a/library/src/test/java/org/siskinramp/gateway/ModelServers.java
+++ b/library/src/test/java/org/siskinramp/gateway/ModelServers.java
@@ -119,6 +119,7 @@
         time.schedule(
                 2 * WAY_MILLISECONDS,
                 () -> {
+                    model.probed++;
                     if (model.down) {
                         report.completeExceptionally(model.failure(model.failureOfProbes()));
                     } else if (model.behaviour == Behaviour.REFUSE_CONNECTIONS) {
@@ -147,6 +148,9 @@
         private double kneeFactor = 1;
         private long coldUntil;
         private boolean leaving;
+        private boolean departing;
+        private long pauseMilliseconds = LoadReport.UNKNOWN;
+        private int probed;
         private final Map<Long, CompletableFuture<AttemptAnswer>> inProgress =
                 new LinkedHashMap<>();
         private String fatalContent = "none";
@@ -203,6 +207,24 @@
             return this;
         }
 
+        /** Lets each of its answers announce its end. */
+        Model announceEnd() {
+            departing = true;
+            return this;
+        }
+
+        /** Lets it turn requests away and ask for a pause, or -1 to end that. */
+        Model askForPause(long milliseconds) {
+            pauseMilliseconds = milliseconds;
+            behaviour = milliseconds > 0 ? Behaviour.SHED : Behaviour.ANSWER;
+            return this;
+        }
+
+        /** Counts the probes that reached it. */
+        int probed() {
+            return probed;
+        }
+
         /** Lets it end under each request whose content begins so. */
         Model endOn(String content) {
             fatalContent = content;
@@ -248,6 +270,7 @@
         /** Starts it again under the same name. */
         void startAgain() {
             down = false;
+            departing = false;
             starts++;
         }
 
@@ -259,6 +282,10 @@
             return runs;
         }
 
+        int running() {
+            return running;
+        }
+
         /** Counts the requests that arrived after a time, rejected ones not included. */
         int arrivalsAfter(long milliseconds) {
             return (int) arrivals.stream().filter(at -> at > milliseconds).count();
@@ -289,12 +316,13 @@
 
         private LoadReport report() {
             return new LoadReport(
-                    name,
-                    running,
-                    leaving,
-                    waiting.size(),
-                    pace,
-                    Math.max(0, coldUntil - time.monotonicMilliseconds()));
+                            name,
+                            running,
+                            leaving,
+                            waiting.size(),
+                            pace,
+                            Math.max(0, coldUntil - time.monotonicMilliseconds()))
+                    .withWish(departing, pauseMilliseconds);
         }
 
         private void arrive(Attempt attempt, CompletableFuture<AttemptAnswer> answer) {
