Bound answers without end, and put their server aside after the first

Cause: an answer ended only at its own size or deadline; nothing bounded all of them, and its server was judged like one that fails one request of five.

Change: the bytes of all answers being read have one bound, past which the exchange that holds most is stopped; a head past its limit, a body without a length past its limit, or one that trickles until its time is over are ANSWER_ENDLESS; their server is passed over for 5 s, twice as long each time, and then tried with one request at a time. Probes read 64 KB at most.

The stand-in servers learn to announce and to send without end.

--- a/daemon/src/main/java/org/siskinramp/daemon/backend/JettyBackendServerLink.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/backend/JettyBackendServerLink.java
@@ -26,6 +26,9 @@
 
     private static final long NO_IDLE_TIME = -1;
 
+    /** Answers to probes carry their figures in headers. */
+    private static final int PROBE_ANSWER_LIMIT_BYTES = 64 * 1024;
+
     private final BackendServerLinkOptions options;
     private final ServerProtocol protocol;
     private final Clock clock;
@@ -163,6 +166,7 @@
                     ExchangeRequest.to(server.address())
                             .target(protocol.probeTarget(server))
                             .deadlineMilliseconds(deadline)
+                            .answerLimitBytes(PROBE_ANSWER_LIMIT_BYTES)
                             .idleLimitMilliseconds(idleLimitMilliseconds)
                             .identityCheck(protocol.identityCheck(""))
                             .endByCloseAllowed(protocol.isEndByCloseAllowed())
--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/Exchange.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/Exchange.java
@@ -28,13 +28,18 @@
  * certain not to have reached the server. One atomic step leads either to {@code SENT}, right after
  * the permission was given, or to {@code ENDED}.
  */
-final class Exchange implements ExchangeCall, Response.Listener {
+final class Exchange implements ExchangeCall, Response.Listener, AnswerMemory.Holder {
 
     private static final int FIRST_FINAL_STATUS = 200;
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
     private static final int LOAD_UNKNOWN = -1;
 
+    /** An answer that began this long ago and came more slowly than this had no end in sight. */
+    private static final long TRICKLE_MILLISECONDS = 300;
+
+    private static final long TRICKLE_BYTES_PER_MILLISECOND = 10;
+
     private final ExchangeRequest request;
     private final ExchangeOptions options;
     private final Clock clock;
@@ -48,6 +53,7 @@
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.UNSENT);
     private volatile long sentMilliseconds;
     private volatile boolean begun;
+    private volatile long begunMilliseconds;
 
     Exchange(
             ExchangeRequest request,
@@ -60,6 +66,7 @@
         this.clock = clock;
         this.exchanger = exchanger;
         this.keeper = keeper;
+        Futures.whenDone(answer, (whole, failure) -> exchanger.answerMemory().release(this));
     }
 
     ExchangeRequest request() {
@@ -200,13 +207,17 @@
 
     @Override
     public void onBegin(Response response) {
+        begunMilliseconds = clock.monotonicMilliseconds();
         begun = true;
     }
 
+    private int answerLimitBytes() {
+        return Math.min(options.answerLimitBytes(), request.answerLimitBytes());
+    }
+
     @Override
     public void onHeaders(Response response) {
-        if (response.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH)
-                        > options.answerLimitBytes()
+        if (response.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH) > answerLimitBytes()
                 && !request.method().equals("HEAD")) {
             abort(AttemptFailure.ANSWER_TOO_LARGE);
         }
@@ -214,15 +225,25 @@
 
     @Override
     public void onContent(Response response, ByteBuffer content) {
-        if (body.size() + content.remaining() > options.answerLimitBytes()) {
-            abort(AttemptFailure.ANSWER_TOO_LARGE);
+        boolean announced = response.getHeaders().contains(HttpHeader.CONTENT_LENGTH);
+        if (body.size() + content.remaining() > answerLimitBytes()) {
+            abort(announced ? AttemptFailure.ANSWER_TOO_LARGE : AttemptFailure.ANSWER_ENDLESS);
+            return;
+        }
+        if (answer.isDone() || reason.get() != null) {
             return;
         }
+        exchanger.answerMemory().grow(this, content.remaining());
         byte[] bytes = new byte[content.remaining()];
         content.get(bytes);
         body.writeBytes(bytes);
     }
 
+    @Override
+    public void stop() {
+        abort(AttemptFailure.ANSWER_ENDLESS);
+    }
+
     @Override
     public void onComplete(Result result) {
         if (result.isFailed()) {
@@ -293,11 +314,21 @@
             return reason.get();
         }
         if (failure instanceof TimeoutException) {
-            return AttemptFailure.TIMED_OUT;
+            return trickles() ? AttemptFailure.ANSWER_ENDLESS : AttemptFailure.TIMED_OUT;
+        }
+        if (HttpExchanger.isHeadTooLarge(failure)) {
+            return AttemptFailure.ANSWER_ENDLESS;
         }
         return begun ? AttemptFailure.ANSWER_INCOMPLETE : AttemptFailure.CONNECTION_BROKEN;
     }
 
+    private boolean trickles() {
+        long took = clock.monotonicMilliseconds() - begunMilliseconds;
+        return begun
+                && took >= TRICKLE_MILLISECONDS
+                && body.size() < took * TRICKLE_BYTES_PER_MILLISECOND;
+    }
+
     private boolean failUnsent(AttemptFailure failure, String detail) {
         if (!phase.compareAndSet(Phase.UNSENT, Phase.ENDED)) {
             return false;
--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/ExchangeOptions.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/ExchangeOptions.java
@@ -6,6 +6,7 @@
     private final long connectTimeoutMilliseconds;
     private final long idleTimeoutMilliseconds;
     private final int answerLimitBytes;
+    private final long answersLimitBytes;
     private final int headerLimitBytes;
     private final int threads;
 
@@ -13,6 +14,7 @@
         connectTimeoutMilliseconds = builder.connectTimeoutMilliseconds;
         idleTimeoutMilliseconds = builder.idleTimeoutMilliseconds;
         answerLimitBytes = builder.answerLimitBytes;
+        answersLimitBytes = builder.answersLimitBytes;
         headerLimitBytes = builder.headerLimitBytes;
         threads = builder.threads;
     }
@@ -34,6 +36,10 @@
         return idleTimeoutMilliseconds;
     }
 
+    long answersLimitBytes() {
+        return answersLimitBytes;
+    }
+
     int answerLimitBytes() {
         return answerLimitBytes;
     }
@@ -52,6 +58,7 @@
         private long connectTimeoutMilliseconds = 500;
         private long idleTimeoutMilliseconds = 5000;
         private int answerLimitBytes = 4 * 1024 * 1024;
+        private long answersLimitBytes = 64L * 1024 * 1024;
         private int headerLimitBytes = 32 * 1024;
         private int threads = 24;
 
@@ -90,6 +97,17 @@
             return this;
         }
 
+        /**
+         * Sets how much the bodies of all answers that are being read may hold together.
+         *
+         * @param value bytes
+         * @return this builder
+         */
+        public Builder answersLimitBytes(long value) {
+            answersLimitBytes = value;
+            return this;
+        }
+
         /**
          * Sets the greatest size of the headers, of requests and of answers.
          *
--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/ExchangeRequest.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/ExchangeRequest.java
@@ -28,6 +28,7 @@
     private final Predicate<ExchangeAnswer> answerCheck;
     private final IdentityCheck identityCheck;
     private final boolean endByCloseAllowed;
+    private final int answerLimitBytes;
 
     private ExchangeRequest(Builder builder) {
         address = builder.address;
@@ -41,6 +42,7 @@
         answerCheck = Objects.requireNonNull(builder.answerCheck, "answerCheck");
         identityCheck = Objects.requireNonNull(builder.identityCheck, "identityCheck");
         endByCloseAllowed = builder.endByCloseAllowed;
+        answerLimitBytes = builder.answerLimitBytes;
     }
 
     /**
@@ -98,6 +100,10 @@
         return identityCheck;
     }
 
+    int answerLimitBytes() {
+        return answerLimitBytes;
+    }
+
     boolean isEndByCloseAllowed() {
         return endByCloseAllowed;
     }
@@ -124,6 +130,7 @@
         private BooleanSupplier permission = () -> true;
         private Predicate<ExchangeAnswer> answerCheck = answer -> true;
         private IdentityCheck identityCheck = IdentityCheck.NONE;
+        private int answerLimitBytes = Integer.MAX_VALUE;
         private boolean endByCloseAllowed;
 
         private Builder(ServerAddress address) {
@@ -174,6 +181,17 @@
             return this;
         }
 
+        /**
+         * Sets the greatest size of the answer's body, below the limit of all exchanges.
+         *
+         * @param value bytes
+         * @return this builder
+         */
+        public Builder answerLimitBytes(int value) {
+            answerLimitBytes = value;
+            return this;
+        }
+
         /**
          * Sets when the exchange is given up.
          *
--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/HttpExchanger.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/HttpExchanger.java
@@ -5,6 +5,7 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.Promise;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -23,6 +24,9 @@
  */
 public final class HttpExchanger {
 
+    /** The parser tells this by the end of its message only. */
+    private static final String HEAD_TOO_LARGE = "Too Large";
+
     private final HttpClient client;
     private final ExchangeOptions options;
     private final Clock clock;
@@ -30,6 +34,7 @@
     private final EventLog eventLog;
     private final Counters counters;
     private final ConnectionPool pool;
+    private final AnswerMemory answerMemory;
 
     /**
      * Creates an exchanger, which must be started before use.
@@ -54,6 +59,7 @@
         this.eventLog = eventLog;
         this.counters = counters;
         this.pool = new ConnectionPool(clock);
+        this.answerMemory = new AnswerMemory(options.answersLimitBytes());
         this.client = newClient(name, options);
     }
 
@@ -136,6 +142,23 @@
                         });
     }
 
+    AnswerMemory answerMemory() {
+        return answerMemory;
+    }
+
+    /** Tells whether an answer failed since its head passed the limit. */
+    static boolean isHeadTooLarge(Throwable failure) {
+        Throwable cause = failure;
+        while (cause != null) {
+            if (cause instanceof HttpException parsed
+                    && String.valueOf(parsed.getReason()).endsWith(HEAD_TOO_LARGE)) {
+                return true;
+            }
+            cause = cause.getCause();
+        }
+        return false;
+    }
+
     Request newJettyRequest(ExchangeRequest request) {
         return client.newRequest(request.address().host(), request.address().port());
     }
--- a/daemon/src/main/java/org/siskinramp/daemon/settings/GatewaySettings.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/GatewaySettings.java
@@ -51,6 +51,7 @@
      * @param bodyLimitBytes the largest request body
      * @param bodiesLimitBytes how much the bodies of all open requests may hold together
      * @param answerLimitBytes the largest answer of a backend server
+     * @param answersLimitBytes how much all answers that are being read may hold together
      * @param idleTimeoutMilliseconds how long a connection may be idle
      * @param concurrentRequestLimit how many requests may be open at once
      */
@@ -60,6 +61,7 @@
             int bodyLimitBytes,
             int bodiesLimitBytes,
             int answerLimitBytes,
+            int answersLimitBytes,
             int idleTimeoutMilliseconds,
             int concurrentRequestLimit) {}
 
--- a/daemon/src/main/java/org/siskinramp/daemon/settings/GatewaySettingsReader.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/settings/GatewaySettingsReader.java
@@ -61,6 +61,8 @@
                         section.integer("bodies_limit_bytes", 0, 512 * MEBIBYTE, 16 * MEBIBYTE),
                         section.integer(
                                 "answer_limit_bytes", KIBIBYTE, 64 * MEBIBYTE, 8 * MEBIBYTE),
+                        section.integer(
+                                "answers_limit_bytes", KIBIBYTE, 512 * MEBIBYTE, 12 * MEBIBYTE),
                         section.integer("idle_timeout_ms", 100, MINUTE_MILLISECONDS, 30_000),
                         section.integer("concurrent_request_limit", 1, 100_000, 1_500));
         section.close();
--- a/daemon/src/test/java/org/siskinramp/daemon/backend/JettyBackendServerLinkTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/backend/JettyBackendServerLinkTest.java
@@ -121,6 +121,21 @@
         assertEquals(1, server.requests().size());
     }
 
+    @Test
+    void endsAnAnswerWhoseHeadHasNoEnd() throws Exception {
+        serve("HTTP/1.1 200 OK\r\nEndless: " + "x".repeat(500_000));
+        assertEquals(AttemptFailure.ANSWER_ENDLESS, failure(dispatch(1)));
+        awaitEnded(1);
+    }
+
+    @Test
+    void endsAnAnswerWhoseBodyHasNoEnd() throws Exception {
+        String chunk = "64\r\n" + "x".repeat(100) + "\r\n";
+        serve("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk.repeat(10));
+        assertEquals(AttemptFailure.ANSWER_ENDLESS, failure(dispatch(1)));
+        awaitEnded(1);
+    }
+
     @Test
     void reportsThatNobodyListens() throws Exception {
         serve(WHOLE);
--- a/library/src/main/java/org/siskinramp/attempt/AttemptFailure.java
+++ b/library/src/main/java/org/siskinramp/attempt/AttemptFailure.java
@@ -28,6 +28,8 @@
     ANSWER_UNPROVEN(false),
     /** The answer is larger than the limit. */
     ANSWER_TOO_LARGE(false),
+    /** The answer went on past a limit of bytes or time without an end in sight. */
+    ANSWER_ENDLESS(false),
     /** No whole answer came before the deadline. */
     TIMED_OUT(false),
     /** The attempt was cancelled by this host. */
--- a/library/src/main/java/org/siskinramp/fleet/KnownServer.java
+++ b/library/src/main/java/org/siskinramp/fleet/KnownServer.java
@@ -26,6 +26,14 @@
     /** The share of failed attempts from which a server is passed over while others are free. */
     private static final double FAILING_SHARE = 0.3;
 
+    /**
+     * The first time for which a server is passed over whose answer did not end; it doubles each
+     * time. Each try costs a caller its whole time.
+     */
+    private static final long FIRST_ASIDE_MILLISECONDS = 5_000;
+
+    private static final long LONGEST_ASIDE_MILLISECONDS = 60_000;
+
     /** After a pause it is sent one request at a time for this long. */
     private static final long RETURN_MILLISECONDS = 1_000;
 
@@ -52,6 +60,8 @@
     private long failedAt;
     private boolean departing;
     private long pausedUntil = NEVER;
+    private long asideUntil = NEVER;
+    private long asideTerm;
 
     KnownServer(ServerEntry entry, long now) {
         this.entry = entry;
@@ -76,6 +86,8 @@
         failureShare = 0;
         departing = false;
         pausedUntil = NEVER;
+        asideUntil = NEVER;
+        asideTerm = 0;
     }
 
     /** Tells whether it must not be forgotten though its entry is gone. */
@@ -198,7 +210,8 @@
         return ill
                 || now < suspectUntil
                 || failureShare(now) > FAILING_SHARE
-                || (inFlight > 0 && isReturning(now));
+                || now < asideUntil
+                || (inFlight > 0 && (asideTerm > 0 || isReturning(now)));
     }
 
     private double failureShare(long now) {
@@ -340,8 +353,42 @@
         ill = !healthy;
     }
 
-    /** Notes that it answered as it should. */
-    public void succeed() {
+    /**
+     * Passes it over for a while, and then tries it with one request at a time until one succeeds.
+     *
+     * @param now monotonic milliseconds
+     * @return false if it is passed over already
+     */
+    public boolean putAside(long now) {
+        if (now < asideUntil) {
+            return false;
+        }
+        asideTerm =
+                asideTerm == 0
+                        ? FIRST_ASIDE_MILLISECONDS
+                        : Math.min(2 * asideTerm, LONGEST_ASIDE_MILLISECONDS);
+        asideUntil = now + asideTerm;
+        return true;
+    }
+
+    /**
+     * Returns until when it is passed over since an answer of it did not end.
+     *
+     * @return monotonic milliseconds; long ago if none did
+     */
+    public long asideUntil() {
+        return asideUntil;
+    }
+
+    /**
+     * Notes that it answered as it should.
+     *
+     * @param now monotonic milliseconds
+     */
+    public void succeed(long now) {
+        if (now >= asideUntil) {
+            asideTerm = 0;
+        }
         suspicion = FIRST_SUSPICION_MILLISECONDS;
         failureShare -= FAILURE_WEIGHT * failureShare;
     }
--- a/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
+++ b/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
@@ -127,7 +127,7 @@
         if (status >= FIRST_SERVER_ERROR) {
             attempt.server().fail(now);
         } else {
-            attempt.server().succeed();
+            attempt.server().succeed(now);
         }
         attempt.run().endAttempt(attempt.number(), true, true);
         crashes.completed(attempt.run(), effects);
@@ -146,6 +146,8 @@
         wishes.take(attempt.server(), failure.loadReport());
         if (!kind.isArrival() || kind == AttemptFailure.WRONG_SERVER) {
             attempt.server().suspect(now);
+        } else if (kind == AttemptFailure.ANSWER_ENDLESS) {
+            putAside(attempt, now);
         } else if (kind != AttemptFailure.CANCELLED) {
             attempt.server().fail(now);
         }
@@ -165,6 +167,22 @@
         listener.ended(attempt, null, AttemptVerdict.ofFailure(kind, idempotent), effects);
     }
 
+    private void putAside(Open attempt, long now) {
+        KnownServer server = attempt.server();
+        if (server.putAside(now)) {
+            environment.counters().add(Counter.SERVERS_PUT_ASIDE);
+            environment
+                    .eventLog()
+                    .record(
+                            LogEvent.named("server_put_aside")
+                                    .with("request", attempt.run().request().key().requestId())
+                                    .with("backend_server", server.server().name())
+                                    .with("reason", AttemptFailure.ANSWER_ENDLESS.word())
+                                    .with("aside_ms", server.asideUntil() - now)
+                                    .with("in_flight", server.inFlight()));
+        }
+    }
+
     void cancel(GatewayRun run, Effects effects) {
         for (long number : run.openAttempts()) {
             effects.add(() -> environment.backendServerLink().cancel(number));
--- a/library/src/main/java/org/siskinramp/routing/ServerObserver.java
+++ b/library/src/main/java/org/siskinramp/routing/ServerObserver.java
@@ -128,6 +128,7 @@
                     ANSWER_INCOMPLETE,
                     ANSWER_CROSSED,
                     ANSWER_UNPROVEN,
+                    ANSWER_ENDLESS,
                     ANSWER_TOO_LARGE ->
                     recordFailure(server, now);
         }
--- a/stand-in/src/main/java/org/siskinramp/standin/http/HttpExchange.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/http/HttpExchange.java
@@ -4,8 +4,12 @@
 import java.net.URLDecoder;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Request;
@@ -133,6 +137,48 @@
         }
     }
 
+    /**
+     * Sends parts of a body, one after the other, until the other end closes the connection.
+     *
+     * @param status the HTTP status
+     * @param headers the headers
+     * @param part each part
+     * @param gapMilliseconds the pause between parts
+     */
+    public void answerWithoutEnd(
+            int status, List<Header> headers, byte[] part, long gapMilliseconds) {
+        if (end()) {
+            begin(status, headers);
+            sendPart(part, gapMilliseconds);
+        }
+    }
+
+    private void sendPart(byte[] part, long gapMilliseconds) {
+        Runnable next = () -> sendPart(part, gapMilliseconds);
+        Executor later = CompletableFuture.delayedExecutor(gapMilliseconds, TimeUnit.MILLISECONDS);
+        response.write(
+                false,
+                ByteBuffer.wrap(part),
+                Callback.from(() -> later.execute(next), callback::failed));
+    }
+
+    /**
+     * Sends a header whose value does not end, until the other end closes the connection.
+     *
+     * @param partBytes how much is sent at a time
+     */
+    public void sendHeadWithoutEnd(int partBytes) {
+        if (end()) {
+            byte[] begin = "HTTP/1.1 200 OK\r\nEndless: ".getBytes(StandardCharsets.US_ASCII);
+            byte[] part = new byte[partBytes];
+            Arrays.fill(part, (byte) 'x');
+            Runnable[] next = new Runnable[1];
+            Callback written = Callback.from(() -> next[0].run(), failure -> cut());
+            next[0] = () -> endPoint().write(written, ByteBuffer.wrap(part));
+            endPoint().write(written, ByteBuffer.wrap(begin));
+        }
+    }
+
     /** Cuts the connection without an answer. */
     public void drop() {
         if (end()) {
--- a/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamFault.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamFault.java
@@ -10,6 +10,12 @@
     HANG,
     /** It answers without running the request, since it is full. */
     SHED,
+    /** Its answer's body goes on without end, as fast as it is read. */
+    ENDLESS_BODY,
+    /** Its answer's body goes on without end, a byte at a time. */
+    ENDLESS_TRICKLE,
+    /** The head of its answer goes on without end. */
+    ENDLESS_HEAD,
     /** It answers a success without its signature. */
     NO_SIGNATURE,
     /** It answers with the identifier of another request. */
--- a/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamStandIn.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamStandIn.java
@@ -22,6 +22,8 @@
     private static final int MISDIRECTED = 421;
     private static final int UNAVAILABLE = 503;
     private static final int SHORT_BYTES = 3;
+    private static final int ENDLESS_PART_BYTES = 16 * 1024;
+    private static final long TRICKLE_GAP_MILLISECONDS = 20;
     private static final long HEARTBEAT_MILLISECONDS = 500;
     private static final long ABANDONED_POLL_MILLISECONDS = 20;
     private static final String REQUEST_ID = "X-Siskinramp-Request-Id";
@@ -54,6 +56,8 @@
     private volatile boolean keepsIdentity;
     private volatile UpstreamFault fault = UpstreamFault.NONE;
     private volatile String state = "ready";
+    private volatile List<Header> announced = List.of();
+    private final AtomicInteger contacts = new AtomicInteger();
     private volatile long coldMilliseconds;
     private volatile boolean closed;
     private volatile String publishedAddress;
@@ -198,6 +202,24 @@
         publish();
     }
 
+    /**
+     * Lets each of its answers carry further headers.
+     *
+     * @param headers the headers, such as one that announces its end
+     */
+    public void announce(Header... headers) {
+        announced = List.of(headers);
+    }
+
+    /**
+     * Counts the requests and probes that reached it.
+     *
+     * @return the contacts
+     */
+    public int contacts() {
+        return contacts.get();
+    }
+
     /**
      * Returns its identity.
      *
@@ -251,6 +273,7 @@
     }
 
     private void handle(HttpExchange exchange) {
+        contacts.incrementAndGet();
         if (exchange.path().equals(HEALTH_PATH)) {
             health(exchange);
             return;
@@ -274,7 +297,7 @@
             }
             exchange.answer(
                     UNAVAILABLE,
-                    List.of(new Header("X-Siskinramp-Not-Executed", "1"), load()),
+                    with(new Header("X-Siskinramp-Not-Executed", "1"), load()),
                     new byte[0]);
         } else {
             runs.merge(exchange.header(REQUEST_ID).orElse(""), 1, Integer::sum);
@@ -285,13 +308,19 @@
     }
 
     private void health(HttpExchange exchange) {
-        List<Header> headers = new ArrayList<>();
+        List<Header> headers = with();
         headers.add(new Header("X-Siskinramp-Instance-Id", identity));
         headers.add(new Header("X-Siskinramp-Warmup-Ms", Long.toString(coldMilliseconds)));
         headers.add(load());
         exchange.answer(state.equals("ready") ? OK : UNAVAILABLE, headers, new byte[0]);
     }
 
+    private List<Header> with(Header... headers) {
+        List<Header> all = new ArrayList<>(announced);
+        all.addAll(List.of(headers));
+        return all;
+    }
+
     private Header load() {
         return new Header("X-Siskinramp-Upstream-Load", running + ",0," + slots + ",100");
     }
@@ -316,7 +345,7 @@
         byte[] body =
                 (exchange.method() + " " + exchange.path() + " " + exchange.body().length)
                         .getBytes(StandardCharsets.UTF_8);
-        List<Header> headers = new ArrayList<>();
+        List<Header> headers = with();
         headers.add(
                 new Header(
                         REQUEST_ID, fault == UpstreamFault.OTHER_REQUEST ? "another" : requestId));
@@ -329,6 +358,11 @@
             case HANG -> {
                 // The exchange is never answered.
             }
+            case ENDLESS_BODY ->
+                    exchange.answerWithoutEnd(OK, headers, new byte[ENDLESS_PART_BYTES], 0);
+            case ENDLESS_TRICKLE ->
+                    exchange.answerWithoutEnd(OK, headers, new byte[1], TRICKLE_GAP_MILLISECONDS);
+            case ENDLESS_HEAD -> exchange.sendHeadWithoutEnd(ENDLESS_PART_BYTES);
             case SHORT_BODY -> exchange.answerShort(OK, headers, body, SHORT_BYTES);
             case FALSE_PROMISE -> exchange.answer(UNAVAILABLE, headers, body);
             default -> exchange.answer(OK, headers, body);
--- /dev/null
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/ServerAnnouncementProcessTest.java
@@ -0,0 +1,169 @@
+package org.siskinramp.standin.cluster;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.siskinramp.adapter.Main;
+import org.siskinramp.request.Header;
+import org.siskinramp.standin.TestClient;
+import org.siskinramp.standin.store.StoreStandIn;
+import org.siskinramp.standin.upstream.GatewayWorld;
+import org.siskinramp.standin.upstream.UpstreamFault;
+import org.siskinramp.standin.upstream.UpstreamStandIn;
+
+/** One of several servers announces its end, asks for a pause or sends without end. */
+class ServerAnnouncementProcessTest {
+
+    private static final int HOSTS = 4;
+    private static final int SERVERS = 6;
+    private static final int SLOTS = 4;
+    private static final long WORK_MILLISECONDS = 50;
+    private static final long GAP_MILLISECONDS = 45;
+    private static final String ALL_PAUSED = "Retry-After";
+
+    @TempDir private Path directory;
+
+    private final StoreStandIn store = StoreStandIn.start("127.0.0.1:0");
+    private final List<UpstreamStandIn> servers = new ArrayList<>();
+    private final List<ProgramProcess> gateways = new ArrayList<>();
+    private final List<TestClient> callers = new ArrayList<>();
+    private final List<CompletableFuture<Integer>> answers = new ArrayList<>();
+    private int requests;
+
+    @BeforeEach
+    void start() throws Exception {
+        store.put("op", "config", GatewayWorld.configuration(1));
+        for (int number = 0; number < SERVERS; number++) {
+            String zone = SoakWorld.zone(0);
+            servers.add(
+                    new UpstreamStandIn(
+                            "i-" + number, "desk", zone, SLOTS, WORK_MILLISECONDS, store));
+        }
+        for (int host = 0; host < HOSTS; host++) {
+            gateways.add(launch(host));
+        }
+        for (ProgramProcess gateway : gateways) {
+            TestClient caller =
+                    new TestClient("localhost:" + gateway.await("started", "caller_port"));
+            callers.add(caller);
+            TestClient.await(() -> send(caller).join() == 200);
+        }
+    }
+
+    @AfterEach
+    void stop() {
+        gateways.forEach(ProgramProcess::close);
+        servers.forEach(UpstreamStandIn::close);
+        store.close();
+    }
+
+    private ProgramProcess launch(int host) throws IOException {
+        Path settings = directory.resolve("edge-" + host + ".toml");
+        Files.writeString(
+                settings,
+                GatewayWorld.settings(store.address())
+                        .replace("name = \"edge-1\"", "name = \"edge-" + host + "\"")
+                        .replace("\"zone-a\"", "\"" + SoakWorld.zone(0) + "\""));
+        return ProgramProcess.start(
+                directory.resolve("edge-" + host + ".log"),
+                Main.class,
+                List.of(settings.toString()));
+    }
+
+    private CompletableFuture<Integer> send(TestClient caller) {
+        String requestId = "request-" + ++requests;
+        return caller.send("GET", "/read/" + requestId, "", "X-Siskinramp-Request-Id", requestId)
+                .thenApply(answer -> answer.statusCode());
+    }
+
+    private void sendFor(long milliseconds) throws InterruptedException {
+        long end = System.nanoTime() + milliseconds * 1_000_000;
+        while (System.nanoTime() < end) {
+            callers.forEach(caller -> answers.add(send(caller)));
+            Thread.sleep(GAP_MILLISECONDS);
+        }
+    }
+
+    private boolean allLogged(String event) {
+        return gateways.stream().allMatch(gateway -> gateway.text().contains(event));
+    }
+
+    private void sendUntilAllLogged(String event) throws InterruptedException {
+        for (int part = 0; part < 100 && !allLogged(event); part++) {
+            sendFor(100);
+        }
+        assertTrue(allLogged(event), event);
+    }
+
+    private void assertServed(double share) {
+        long served = answers.stream().filter(answer -> answer.join() == 200).count();
+        assertTrue(served >= share * answers.size(), "served " + served + "/" + answers.size());
+    }
+
+    @Test
+    void aServerThatAnnouncesItsEndGetsNothingNew() throws Exception {
+        UpstreamStandIn ending = servers.get(0);
+        ending.announce(new Header("Server-Leaving", "1"));
+        sendUntilAllLogged("event=server_departing backend_server=i-0");
+        sendFor(200);
+        int before = ending.contacts();
+        sendFor(5_000);
+        assertEquals(before, ending.contacts());
+        assertServed(0.99);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"7", "6.5"})
+    void aServerThatWantsAPauseGetsNothingInIt(String seconds) throws Exception {
+        UpstreamStandIn pausing = servers.get(0);
+        pausing.announce(new Header(ALL_PAUSED, seconds));
+        pausing.setFault(UpstreamFault.SHED);
+        sendUntilAllLogged("event=server_paused backend_server=i-0");
+        sendFor(200);
+        int before = pausing.contacts();
+        sendFor(2_000);
+        assertEquals(before, pausing.contacts());
+        pausing.announce();
+        pausing.setFault(UpstreamFault.NONE);
+        sendFor(8_000);
+        assertTrue(pausing.contacts() > before, "it gets requests again");
+        assertServed(0.99);
+    }
+
+    @Test
+    void nonsenseIsIgnoredAndLogged() throws Exception {
+        servers.get(0).announce(new Header("Server-Leaving", "perhaps"));
+        sendUntilAllLogged("event=announcement_ignored backend_server=i-0");
+        int before = servers.get(0).contacts();
+        sendFor(1_000);
+        assertTrue(servers.get(0).contacts() > before);
+        assertServed(0.99);
+    }
+
+    /** Others hold their rate within 5 in 100; the memory stays under half of the host's. */
+    @ParameterizedTest
+    @EnumSource(names = {"ENDLESS_BODY", "ENDLESS_TRICKLE", "ENDLESS_HEAD"})
+    void aServerThatSendsWithoutEndIsPutAside(UpstreamFault fault) throws Exception {
+        sendFor(1_000);
+        servers.get(0).setFault(fault);
+        sendFor(8_000);
+        assertTrue(
+                gateways.stream()
+                        .anyMatch(gateway -> gateway.text().contains("event=server_put_aside")),
+                "put aside");
+        assertServed(0.95);
+    }
+}
