--- a/library/src/main/java/org/siskinramp/gateway/CrashWatch.java
+++ b/library/src/main/java/org/siskinramp/gateway/CrashWatch.java
@@ -121,9 +121,13 @@
         return count;
     }
 
-    /** Notes that the connection broke on which a server had got a request. */
+    /**
+     * Notes that the connection broke on which a server had got a request. A server that was full
+     * may cut the connections of requests and probes alike, and live.
+     */
     void broke(AttemptDesk.Open attempt, Effects effects) {
-        doubt(attempt, true, effects);
+        boolean full = attempt.occupied() > attempt.server().server().slots();
+        doubt(attempt, !full, effects);
     }
 
     /** Notes that a server that had got a request was silent to the end of the request's time. */
@@ -131,7 +135,7 @@
         doubt(attempt, false, effects);
     }
 
-    private void doubt(AttemptDesk.Open attempt, boolean broken, Effects effects) {
+    private void doubt(AttemptDesk.Open attempt, boolean cut, Effects effects) {
         long now = now();
         KnownServer server = attempt.server();
         if (!server.isPresent(now)) {
@@ -149,7 +153,7 @@
             }
         }
         if (doubts.list.size() < DOUBTS_OF_A_SERVER_AT_MOST) {
-            doubts.list.add(new Doubt(crashOf(attempt), now, broken));
+            doubts.list.add(new Doubt(crashOf(attempt), now, cut));
         }
     }
 
@@ -207,7 +211,7 @@
     /** A server that answers no probe for a while after it cut a request's connection is gone. */
     private void cutsConnections(String server, Effects effects) {
         Doubts doubts = doubtsByServer.get(server);
-        if (doubts == null || doubts.list.stream().noneMatch(Doubt::broken)) {
+        if (doubts == null || doubts.list.stream().noneMatch(Doubt::cut)) {
             return;
         }
         if (doubts.failingSince == Doubts.NEVER) {
@@ -339,7 +343,8 @@
         return environment.clock().monotonicMilliseconds();
     }
 
-    private record Doubt(Crash crash, long brokenAt, boolean broken) {}
+    /** Describes a break; the server was not full if its connection was cut. */
+    private record Doubt(Crash crash, long brokenAt, boolean cut) {}
 
     /** Counts the servers that ended a short while ago under requests of one route. */
     private static final class RouteCrashes {
