--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/GatewayProcesses.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/GatewayProcesses.java
@@ -10,6 +10,9 @@
 /** Starts gateways of a small deployment as processes. */
 final class GatewayProcesses {
 
+    /** As in deploy/system.toml. */
+    private static final int HEAP_MEGABYTES = 64;
+
     private GatewayProcesses() {}
 
     /** Starts a gateway named for its number, which finds its store at an address. */
@@ -24,6 +27,7 @@
         return ProgramProcess.start(
                 directory.resolve("edge-" + host + ".log"),
                 Main.class,
+                HEAP_MEGABYTES,
                 List.of(settings.toString()));
     }
 
--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/ProgramProcess.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/ProgramProcess.java
@@ -18,6 +18,8 @@
     private static final long START_SECONDS = 30;
     private static final long STOP_SECONDS = 40;
 
+    private static final int HEAP_MEGABYTES = 96;
+
     private final Path output;
     private final Process process;
     private final long earlierBytes;
@@ -30,13 +32,18 @@
     }
 
     static ProgramProcess start(Path output, Class<?> program, List<String> arguments) {
+        return start(output, program, HEAP_MEGABYTES, arguments);
+    }
+
+    static ProgramProcess start(
+            Path output, Class<?> program, int heapMegabytes, List<String> arguments) {
         List<String> command =
                 new ArrayList<>(
                         List.of(
                                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                                 "-XX:+UseSerialGC",
                                 "-XX:TieredStopAtLevel=1",
-                                "-Xmx96m",
+                                "-Xmx" + heapMegabytes + "m",
                                 "-cp",
                                 System.getProperty("java.class.path"),
                                 program.getName()));
@@ -104,6 +111,15 @@
         signal("-HUP");
     }
 
+    /** Returns the most memory that it has held, by the operating system's count. */
+    long peakKilobytes() throws IOException {
+        return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status")).stream()
+                .filter(line -> line.startsWith("VmHWM:"))
+                .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
+                .findFirst()
+                .orElseThrow();
+    }
+
     boolean isAlive() {
         return process.isAlive();
     }
--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/ServerAnnouncementProcessTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/ServerAnnouncementProcessTest.java
@@ -30,7 +30,11 @@
     private static final int SLOTS = 4;
     private static final long WORK_MILLISECONDS = 50;
     private static final long GAP_MILLISECONDS = 45;
-    private static final String ALL_PAUSED = "Retry-After";
+    private static final String PAUSE = "Retry-After";
+    private static final int AT_ONCE = 50;
+
+    /** Half of the memory of the smallest host that is described. */
+    private static final long PEAK_KILOBYTES = 330 * 1024 / 2;
 
     @TempDir private Path directory;
 
@@ -118,7 +122,7 @@
     @ValueSource(strings = {"7", "6.5"})
     void aServerThatWantsAPauseGetsNothingInIt(String seconds) throws Exception {
         UpstreamStandIn pausing = servers.get(0);
-        pausing.announce(new Header(ALL_PAUSED, seconds));
+        pausing.announce(new Header(PAUSE, seconds));
         pausing.setFault(UpstreamFault.SHED);
         sendUntilAllLogged("event=server_paused backend_server=i-0");
         sendFor(200);
@@ -155,4 +159,31 @@
                 "put aside");
         assertServed(0.95);
     }
+
+    @Test
+    void fiftyAnswersWithoutEndAtOnceAreBoundedTogether() throws Exception {
+        for (int number = SERVERS; number < AT_ONCE / SLOTS; number++) {
+            servers.add(
+                    new UpstreamStandIn(
+                            "i-" + number,
+                            "desk",
+                            SoakWorld.zone(0),
+                            SLOTS,
+                            WORK_MILLISECONDS,
+                            store));
+        }
+        sendFor(4_000);
+        servers.forEach(server -> server.setFault(UpstreamFault.ENDLESS_BODY));
+        answers.clear();
+        TestClient caller = callers.get(0);
+        for (int request = 0; request < AT_ONCE; request++) {
+            answers.add(send(caller));
+        }
+        answers.forEach(answer -> assertTrue(answer.join() >= 500, "status " + answer.join()));
+        assertTrue(gateways.get(0).isAlive());
+        long peak = gateways.get(0).peakKilobytes();
+        assertTrue(peak < PEAK_KILOBYTES, "peak " + peak + " kB");
+        servers.forEach(server -> server.setFault(UpstreamFault.NONE));
+        TestClient.await(() -> send(caller).join() == 200);
+    }
 }
