Answer what comes as a gateway stops, before its process ends

Cause: refusals were not counted among the requests in progress, so that the process ended while one was being written; the first refusal of a process took that long, since its body was mapped by reflection. Ruled out: a request that was cut (requests_cut=0).

Change: refusals of a stopping gateway count until they are written; it ends once no request was in progress for 200 ms; the body of refusals is written field by field; the rehearsal refuses some requests, so that their classes are archived.

--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
@@ -73,7 +73,13 @@
             response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
         }
         if (stopping.get()) {
-            refuse(ResultCode.STOPPING, "try another entry host", request, response, callback);
+            openRequests.begin();
+            refuse(
+                    ResultCode.STOPPING,
+                    "try another entry host",
+                    request,
+                    response,
+                    Callback.from(callback, openRequests::end));
         } else if (!openRequests.begin(options.requestLimit())) {
             refuse(
                     ResultCode.TOO_MANY_REQUESTS,
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/OpenRequests.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/OpenRequests.java
@@ -20,6 +20,11 @@
         }
     }
 
+    /** Counts a request in, whatever the limit. */
+    void begin() {
+        var unused = begin(Integer.MAX_VALUE);
+    }
+
     /** Counts a request in, unless the limit is reached. */
     boolean begin(int limit) {
         lock.lock();
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/RefusalBody.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/RefusalBody.java
@@ -1,14 +1,12 @@
 package org.siskinramp.daemon.caller;
 
-import com.fasterxml.jackson.annotation.JsonInclude;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.PropertyNamingStrategies;
-import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import org.siskinramp.result.ResultException;
 
 /** Holds the JSON body that goes with a result other than an answer. */
-@JsonInclude(JsonInclude.Include.NON_NULL)
 record RefusalBody(
         int code,
         String name,
@@ -17,10 +15,7 @@
         boolean copyNotRun,
         String requestId) {
 
-    private static final ObjectMapper MAPPER =
-            JsonMapper.builder()
-                    .propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
-                    .build();
+    private static final JsonFactory JSON = new JsonFactory();
 
     static RefusalBody of(ResultException refusal, String requestId) {
         return new RefusalBody(
@@ -32,11 +27,23 @@
                 requestId);
     }
 
+    /** Written field by field, since mapping by reflection takes long at the first refusal. */
     byte[] toBytes() {
-        try {
-            return MAPPER.writeValueAsBytes(this);
-        } catch (JsonProcessingException impossible) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator generator = JSON.createGenerator(bytes)) {
+            generator.writeStartObject();
+            generator.writeNumberField("code", code);
+            generator.writeStringField("name", name);
+            generator.writeStringField("message", message);
+            generator.writeBooleanField("not_run", notRun);
+            generator.writeBooleanField("copy_not_run", copyNotRun);
+            if (requestId != null) {
+                generator.writeStringField("request_id", requestId);
+            }
+            generator.writeEndObject();
+        } catch (IOException impossible) {
             throw new IllegalStateException(impossible);
         }
+        return bytes.toByteArray();
     }
 }
--- a/daemon/src/main/java/org/siskinramp/daemon/gateway/GatewayStop.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/gateway/GatewayStop.java
@@ -25,6 +25,9 @@
     /** What is left of the grace time for the end of the process itself. */
     private static final long EXIT_MILLISECONDS = 350;
 
+    /** Requests that were on their way when listening ended have come and are answered by then. */
+    private static final long QUIET_MILLISECONDS = 200;
+
     private static final long POLL_MILLISECONDS = 20;
 
     private final Gateway gateway;
@@ -33,6 +36,7 @@
     private final Clock clock;
     private final Scheduler scheduler;
     private final EventLog eventLog;
+    private long busyAt;
 
     GatewayStop(
             Gateway gateway,
@@ -61,13 +65,23 @@
         awaitUntil(Math.min(end, begun + TAKING_MILLISECONDS), () -> false);
         callers.stopListening();
         callers.refuseNewRequests();
-        awaitUntil(end, () -> callers.openRequests() == 0);
+        busyAt = clock.monotonicMilliseconds();
+        awaitUntil(end, this::isQuiet);
         eventLog.record(
                 LogEvent.named("stopped")
                         .with("requests_cut", callers.openRequests())
                         .with("took_ms", clock.monotonicMilliseconds() - begun));
     }
 
+    /** Tells whether no request has been in progress for a while. */
+    private boolean isQuiet() {
+        long now = clock.monotonicMilliseconds();
+        if (callers.openRequests() > 0) {
+            busyAt = now;
+        }
+        return now - busyAt >= QUIET_MILLISECONDS;
+    }
+
     private void awaitUntil(long end, BooleanSupplier condition) {
         while (!condition.getAsBoolean() && clock.monotonicMilliseconds() < end) {
             CompletableFuture<Void> passed = new CompletableFuture<>();
--- a/stand-in/src/main/java/org/siskinramp/standin/command/RehearseCommand.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/command/RehearseCommand.java
@@ -100,12 +100,17 @@
         throw new IllegalStateException("the gateway did not start: " + log);
     }
 
+    /** Every tenth request has no route, so that refusals are rehearsed as well. */
+    private static String path(int number) {
+        return number % 10 == 9 ? "/nowhere/x" : "/read/x";
+    }
+
     private static int send(int port) throws InterruptedException {
         HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
         int answered = 0;
         for (int number = 0; number < REQUESTS; number++) {
             HttpRequest.Builder request =
-                    HttpRequest.newBuilder(URI.create("http://localhost:" + port + "/read/x"))
+                    HttpRequest.newBuilder(URI.create("http://localhost:" + port + path(number)))
                             .timeout(REQUEST_LIMIT)
                             .header("X-Siskinramp-Request-Id", "rehearsal-" + number)
                             .header("X-Siskinramp-Request-Deadline-Ms", "1000");
