--- a/library/src/main/java/org/siskinramp/attempt/LoadReport.java
+++ b/library/src/main/java/org/siskinramp/attempt/LoadReport.java
@@ -75,7 +75,7 @@
      * @param milliseconds for how long it wants no request, or -1
      * @return the report
      */
-    public LoadReport withWish(boolean ends, long milliseconds) {
+    public LoadReport withAnnouncement(boolean ends, long milliseconds) {
         return new LoadReport(
                 bootIdentity,
                 requestsInProgress,
--- a/library/src/main/java/org/siskinramp/fleet/KnownServer.java
+++ b/library/src/main/java/org/siskinramp/fleet/KnownServer.java
@@ -30,15 +30,15 @@
      * The first time for which a server is passed over whose answer did not end; it doubles each
      * time. Each try costs a caller its whole time.
      */
-    private static final long FIRST_ASIDE_MILLISECONDS = 5_000;
+    private static final long FIRST_EJECTION_MILLISECONDS = 5_000;
 
-    private static final long LONGEST_ASIDE_MILLISECONDS = 60_000;
+    private static final long LONGEST_EJECTION_MILLISECONDS = 60_000;
 
     /** After a pause it is sent one request at a time for this long. */
     private static final long RETURN_MILLISECONDS = 1_000;
 
     /** For how long what it announced is kept once its entry is gone, which may come back. */
-    private static final long WISHES_KEPT_MILLISECONDS = 600_000;
+    private static final long ANNOUNCEMENTS_KEPT_MILLISECONDS = 600_000;
 
     private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -60,8 +60,8 @@
     private long failedAt;
     private boolean departing;
     private long pausedUntil = NEVER;
-    private long asideUntil = NEVER;
-    private long asideTerm;
+    private long ejectedUntil = NEVER;
+    private long ejectionTerm;
 
     KnownServer(ServerEntry entry, long now) {
         this.entry = entry;
@@ -86,14 +86,14 @@
         failureShare = 0;
         departing = false;
         pausedUntil = NEVER;
-        asideUntil = NEVER;
-        asideTerm = 0;
+        ejectedUntil = NEVER;
+        ejectionTerm = 0;
     }
 
     /** Tells whether it must not be forgotten though its entry is gone. */
     boolean isKept(long now) {
-        boolean wishes = departing || isPaused(now);
-        return inFlight > 0 || (wishes && now - goneAt < WISHES_KEPT_MILLISECONDS);
+        boolean announcements = departing || isPaused(now);
+        return inFlight > 0 || (announcements && now - goneAt < ANNOUNCEMENTS_KEPT_MILLISECONDS);
     }
 
     void leaveAt(long milliseconds) {
@@ -210,8 +210,8 @@
         return ill
                 || now < suspectUntil
                 || failureShare(now) > FAILING_SHARE
-                || now < asideUntil
-                || (inFlight > 0 && (asideTerm > 0 || isReturning(now)));
+                || now < ejectedUntil
+                || (inFlight > 0 && (ejectionTerm > 0 || isReturning(now)));
     }
 
     private double failureShare(long now) {
@@ -359,15 +359,15 @@
      * @param now monotonic milliseconds
      * @return false if it is passed over already
      */
-    public boolean putAside(long now) {
-        if (now < asideUntil) {
+    public boolean eject(long now) {
+        if (now < ejectedUntil) {
             return false;
         }
-        asideTerm =
-                asideTerm == 0
-                        ? FIRST_ASIDE_MILLISECONDS
-                        : Math.min(2 * asideTerm, LONGEST_ASIDE_MILLISECONDS);
-        asideUntil = now + asideTerm;
+        ejectionTerm =
+                ejectionTerm == 0
+                        ? FIRST_EJECTION_MILLISECONDS
+                        : Math.min(2 * ejectionTerm, LONGEST_EJECTION_MILLISECONDS);
+        ejectedUntil = now + ejectionTerm;
         return true;
     }
 
@@ -376,8 +376,8 @@
      *
      * @return monotonic milliseconds; long ago if none did
      */
-    public long asideUntil() {
-        return asideUntil;
+    public long ejectedUntil() {
+        return ejectedUntil;
     }
 
     /**
@@ -386,8 +386,8 @@
      * @param now monotonic milliseconds
      */
     public void succeed(long now) {
-        if (now >= asideUntil) {
-            asideTerm = 0;
+        if (now >= ejectedUntil) {
+            ejectionTerm = 0;
         }
         suspicion = FIRST_SUSPICION_MILLISECONDS;
         failureShare -= FAILURE_WEIGHT * failureShare;
--- a/library/src/main/java/org/siskinramp/gateway/ServerWishes.java
+++ b/library/src/main/java/org/siskinramp/gateway/Announcements.java
@@ -11,7 +11,7 @@
  * none for a while. Answers servers that know of their end or of an overload before the store does.
  * It is guarded by the lock of the gateway.
  */
-final class ServerWishes {
+final class Announcements {
 
     /** Hosts that were asked to pause together return within this part of the pause. */
     private static final double SPREAD_PART = 0.25;
@@ -22,7 +22,7 @@
     private final GatewayEnvironment environment;
     private final Fleet fleet;
 
-    ServerWishes(GatewayEnvironment environment, Fleet fleet) {
+    Announcements(GatewayEnvironment environment, Fleet fleet) {
         this.environment = environment;
         this.fleet = fleet;
     }
--- a/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
+++ b/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
@@ -25,7 +25,7 @@
     private final Fleet fleet;
     private final Locked locked;
     private final CrashWatch crashes;
-    private final ServerWishes wishes;
+    private final Announcements announcements;
     private final EndListener listener;
     private final Map<Long, Open> open = new HashMap<>();
 
@@ -34,13 +34,13 @@
             Fleet fleet,
             Locked locked,
             CrashWatch crashes,
-            ServerWishes wishes,
+            Announcements announcements,
             EndListener listener) {
         this.environment = environment;
         this.fleet = fleet;
         this.locked = locked;
         this.crashes = crashes;
-        this.wishes = wishes;
+        this.announcements = announcements;
         this.listener = listener;
     }
 
@@ -123,7 +123,7 @@
         long now = environment.clock().monotonicMilliseconds();
         int status = answer.answer().status();
         attempt.server().seeAnswer(answer.loadReport(), now);
-        wishes.take(attempt.server(), answer.loadReport());
+        announcements.take(attempt.server(), answer.loadReport());
         if (status >= FIRST_SERVER_ERROR) {
             attempt.server().fail(now);
         } else {
@@ -143,11 +143,11 @@
         if (kind != AttemptFailure.WRONG_SERVER) {
             attempt.server().see(failure.loadReport(), now);
         }
-        wishes.take(attempt.server(), failure.loadReport());
+        announcements.take(attempt.server(), failure.loadReport());
         if (!kind.isArrival() || kind == AttemptFailure.WRONG_SERVER) {
             attempt.server().suspect(now);
         } else if (kind == AttemptFailure.ANSWER_ENDLESS) {
-            putAside(attempt, now);
+            eject(attempt, now);
         } else if (kind != AttemptFailure.CANCELLED) {
             attempt.server().fail(now);
         }
@@ -167,18 +167,18 @@
         listener.ended(attempt, null, AttemptVerdict.ofFailure(kind, idempotent), effects);
     }
 
-    private void putAside(Open attempt, long now) {
+    private void eject(Open attempt, long now) {
         KnownServer server = attempt.server();
-        if (server.putAside(now)) {
-            environment.counters().add(Counter.SERVERS_PUT_ASIDE);
+        if (server.eject(now)) {
+            environment.counters().add(Counter.EJECTIONS);
             environment
                     .eventLog()
                     .record(
-                            LogEvent.named("server_put_aside")
+                            LogEvent.named("server_ejected")
                                     .with("request", attempt.run().request().key().requestId())
                                     .with("backend_server", server.server().name())
                                     .with("reason", AttemptFailure.ANSWER_ENDLESS.word())
-                                    .with("aside_ms", server.asideUntil() - now)
+                                    .with("ejected_ms", server.ejectedUntil() - now)
                                     .with("in_flight", server.inFlight()));
         }
     }
--- a/library/src/main/java/org/siskinramp/gateway/CrashWatch.java
+++ b/library/src/main/java/org/siskinramp/gateway/CrashWatch.java
@@ -57,7 +57,7 @@
 
     private final GatewayEnvironment environment;
     private final Locked locked;
-    private final ServerWishes wishes;
+    private final Announcements announcements;
     private final Quarantine quarantine;
     private final CrashReporter reporter;
     private final Map<String, Doubts> doubtsByServer = new LinkedHashMap<>();
@@ -67,12 +67,12 @@
     CrashWatch(
             GatewayEnvironment environment,
             Locked locked,
-            ServerWishes wishes,
+            Announcements announcements,
             Quarantine quarantine,
             CrashReporter reporter) {
         this.environment = environment;
         this.locked = locked;
-        this.wishes = wishes;
+        this.announcements = announcements;
         this.quarantine = quarantine;
         this.reporter = reporter;
     }
@@ -200,7 +200,7 @@
             Throwable failure,
             Effects effects) {
         if (failure == null) {
-            wishes.take(server, report);
+            announcements.take(server, report);
             lives(server, sentAt);
         } else {
             failed(server, AttemptException.from(failure).failure(), effects);
--- a/library/src/main/java/org/siskinramp/gateway/Gateway.java
+++ b/library/src/main/java/org/siskinramp/gateway/Gateway.java
@@ -47,7 +47,7 @@
     private volatile RouteTable routes = RouteTable.EMPTY;
     private final HostCount hosts;
     private final Quarantine quarantine;
-    private final ServerWishes wishes;
+    private final Announcements announcements;
     private final CrashWatch crashes;
     private int inProgress;
 
@@ -90,8 +90,9 @@
                         environment.clock().monotonicMilliseconds(),
                         options.retryWindowMilliseconds());
         this.quarantine = quarantine;
-        this.wishes = new ServerWishes(environment, fleet);
-        this.crashes = new CrashWatch(environment, this::locked, wishes, quarantine, reporter);
+        this.announcements = new Announcements(environment, fleet);
+        this.crashes =
+                new CrashWatch(environment, this::locked, announcements, quarantine, reporter);
     }
 
     /**
@@ -299,7 +300,7 @@
                                 this::routes,
                                 hosts,
                                 crashes,
-                                wishes));
+                                announcements));
     }
 
     /**
--- a/library/src/main/java/org/siskinramp/gateway/SearchDesk.java
+++ b/library/src/main/java/org/siskinramp/gateway/SearchDesk.java
@@ -76,7 +76,7 @@
     private final GatewayOptions options;
     private final Locked locked;
     private final CrashWatch crashes;
-    private final ServerWishes wishes;
+    private final Announcements announcements;
     private final TokenBucket probeBudget = new TokenBucket(PROBES_KEPT);
     private int searches;
 
@@ -86,13 +86,13 @@
             GatewayOptions options,
             Locked locked,
             CrashWatch crashes,
-            ServerWishes wishes) {
+            Announcements announcements) {
         this.pool = pool;
         this.environment = environment;
         this.options = options;
         this.locked = locked;
         this.crashes = crashes;
-        this.wishes = wishes;
+        this.announcements = announcements;
     }
 
     /** Lets a new request pay for its probes, so that no host has to know how many others probe. */
@@ -193,11 +193,11 @@
             round.answers++;
             server.seeAnswer(report, now);
             server.tellHealth(!report.leaving());
-            wishes.take(server, report);
+            announcements.take(server, report);
         } else {
             AttemptException cause = AttemptException.from(failure);
             server.see(cause.loadReport(), now);
-            wishes.take(server, cause.loadReport());
+            announcements.take(server, cause.loadReport());
             server.suspect(now);
             crashes.failed(server, cause.failure(), effects);
         }
--- a/library/src/main/java/org/siskinramp/gateway/ServicePool.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServicePool.java
@@ -69,7 +69,7 @@
             Supplier<RouteTable> routes,
             HostCount hosts,
             CrashWatch crashes,
-            ServerWishes wishes) {
+            Announcements announcements) {
         this.service = service;
         this.environment = environment;
         this.options = options;
@@ -78,11 +78,11 @@
         this.hosts = hosts;
         this.crashes = crashes;
         scope = new ServerScope(service, environment, options, fleet, newColdRate());
-        desk = new AttemptDesk(environment, fleet, locked, crashes, wishes, this);
+        desk = new AttemptDesk(environment, fleet, locked, crashes, announcements, this);
         ends = new RunEnds(environment);
         placement = new PlacementChoice(environment.availabilityZone(), limit);
         retryBudget = new RetryBudget(options.retryShare(), options.retryWindowMilliseconds());
-        searches = new SearchDesk(this, environment, options, locked, crashes, wishes);
+        searches = new SearchDesk(this, environment, options, locked, crashes, announcements);
     }
 
     PlacementChoice placement() {
--- a/library/src/main/java/org/siskinramp/log/Counter.java
+++ b/library/src/main/java/org/siskinramp/log/Counter.java
@@ -32,8 +32,6 @@
     SERVERS_DEPARTING,
     /** Pauses that backend servers asked for. */
     SERVERS_PAUSED,
-    /** Backend servers put aside since an answer of theirs did not end. */
-    SERVERS_PUT_ASIDE,
     /** Requests that waited for a slot. */
     WAITS,
     /** Slots asked for from other hosts. */
--- a/library/src/test/java/org/siskinramp/gateway/ServerWishesTest.java
+++ b/library/src/test/java/org/siskinramp/gateway/AnnouncementsTest.java
@@ -15,7 +15,7 @@
 import org.siskinramp.time.VirtualTime;
 
 /** Servers announce their end or ask for a pause in their answers, under steady requests. */
-class ServerWishesTest {
+class AnnouncementsTest {
 
     private static final long PAUSE = 3_000;
     private static final long GAP = 40;
--- a/library/src/test/java/org/siskinramp/gateway/ModelServers.java
+++ b/library/src/test/java/org/siskinramp/gateway/ModelServers.java
@@ -322,7 +322,7 @@
                             waiting.size(),
                             pace,
                             Math.max(0, coldUntil - time.monotonicMilliseconds()))
-                    .withWish(departing, pauseMilliseconds);
+                    .withAnnouncement(departing, pauseMilliseconds);
         }
 
         private void arrive(Attempt attempt, CompletableFuture<AttemptAnswer> answer) {
--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/ServerAnnouncementProcessTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/ServerAnnouncementProcessTest.java
@@ -149,14 +149,14 @@
     /** Others hold their rate within 5 in 100; the memory stays under half of the host's. */
     @ParameterizedTest
     @EnumSource(names = {"ENDLESS_BODY", "ENDLESS_TRICKLE", "ENDLESS_HEAD"})
-    void aServerThatSendsWithoutEndIsPutAside(UpstreamFault fault) throws Exception {
+    void aServerThatSendsWithoutEndIsEjected(UpstreamFault fault) throws Exception {
         sendFor(1_000);
         servers.get(0).setFault(fault);
         sendFor(8_000);
         assertTrue(
                 gateways.stream()
-                        .anyMatch(gateway -> gateway.text().contains("event=server_put_aside")),
-                "put aside");
+                        .anyMatch(gateway -> gateway.text().contains("event=server_ejected")),
+                "ejected");
         assertServed(0.95);
     }
 
