Ask a server that said it is ill again after a second

Callers: a server that its health check had once called ill got nothing more from the hosts that saw it, as long as others of its zone were free, though it was well again; the others carried its load.

Cause: only a probe took the word back, and only servers that are not passed over are probed. A new start under the same name inherited it. Change: the word counts for a second; a placement is preceded by a probe that tells anew. What a server is passed over for moved into a class of its own (Suspicion).

--- a/library/src/main/java/org/siskinramp/fleet/KnownServer.java
+++ b/library/src/main/java/org/siskinramp/fleet/KnownServer.java
@@ -9,31 +9,6 @@
  */
 public final class KnownServer {
 
-    /** The first time for which a server that failed is passed over; it doubles each time. */
-    private static final long FIRST_SUSPICION_MILLISECONDS = 100;
-
-    /** The longest such time. It stays below the time in which a crashed server is back. */
-    private static final long LONGEST_SUSPICION_MILLISECONDS = 1_600;
-
-    /**
-     * The time in which the memory of failures fades to a third, as the server gets no requests.
-     */
-    private static final double FAILURE_MEMORY_MILLISECONDS = 1_500;
-
-    /** How much the end of one attempt moves the share of failures. */
-    private static final double FAILURE_WEIGHT = 0.2;
-
-    /** The share of failed attempts from which a server is passed over while others are free. */
-    private static final double FAILING_SHARE = 0.3;
-
-    /**
-     * The first time for which a server is passed over whose answer did not end; it doubles each
-     * time. Each try costs a caller its whole time.
-     */
-    private static final long FIRST_EJECTION_MILLISECONDS = 5_000;
-
-    private static final long LONGEST_EJECTION_MILLISECONDS = 60_000;
-
     /** After a pause it is sent one request at a time for this long. */
     private static final long RETURN_MILLISECONDS = 1_000;
 
@@ -53,15 +28,9 @@
     private int inFlight;
     private int probes;
     private boolean answered;
-    private long suspectUntil = Long.MIN_VALUE / 2;
-    private long suspicion = FIRST_SUSPICION_MILLISECONDS;
-    private boolean ill;
-    private double failureShare;
-    private long failedAt;
+    private Suspicion suspicion = new Suspicion();
     private boolean departing;
     private long pausedUntil = NEVER;
-    private long ejectedUntil = NEVER;
-    private long ejectionTerm;
 
     KnownServer(ServerEntry entry, long now) {
         this.entry = entry;
@@ -81,13 +50,9 @@
         answered = false;
         running = LoadReport.UNKNOWN;
         seenAt = Long.MIN_VALUE / 2;
-        suspectUntil = Long.MIN_VALUE / 2;
-        suspicion = FIRST_SUSPICION_MILLISECONDS;
-        failureShare = 0;
+        suspicion = new Suspicion();
         departing = false;
         pausedUntil = NEVER;
-        ejectedUntil = NEVER;
-        ejectionTerm = 0;
     }
 
     /** Tells whether it must not be forgotten though its entry is gone. */
@@ -207,15 +172,8 @@
      *     a request of this host
      */
     public boolean isSuspect(long now) {
-        return ill
-                || now < suspectUntil
-                || failureShare(now) > FAILING_SHARE
-                || now < ejectedUntil
-                || (inFlight > 0 && (ejectionTerm > 0 || isReturning(now)));
-    }
-
-    private double failureShare(long now) {
-        return failureShare * Math.exp((failedAt - now) / FAILURE_MEMORY_MILLISECONDS);
+        return suspicion.isHeld(now)
+                || (inFlight > 0 && (suspicion.isOnTrial() || isReturning(now)));
     }
 
     /**
@@ -348,9 +306,10 @@
      * Notes what its health check told.
      *
      * @param healthy false if it says that it drains or fails
+     * @param now monotonic milliseconds
      */
-    public void tellHealth(boolean healthy) {
-        ill = !healthy;
+    public void tellHealth(boolean healthy, long now) {
+        suspicion.tellHealth(healthy, now);
     }
 
     /**
@@ -360,15 +319,7 @@
      * @return false if it is passed over already
      */
     public boolean eject(long now) {
-        if (now < ejectedUntil) {
-            return false;
-        }
-        ejectionTerm =
-                ejectionTerm == 0
-                        ? FIRST_EJECTION_MILLISECONDS
-                        : Math.min(2 * ejectionTerm, LONGEST_EJECTION_MILLISECONDS);
-        ejectedUntil = now + ejectionTerm;
-        return true;
+        return suspicion.eject(now);
     }
 
     /**
@@ -377,7 +328,7 @@
      * @return monotonic milliseconds; long ago if none did
      */
     public long ejectedUntil() {
-        return ejectedUntil;
+        return suspicion.ejectedUntil();
     }
 
     /**
@@ -386,11 +337,7 @@
      * @param now monotonic milliseconds
      */
     public void succeed(long now) {
-        if (now >= ejectedUntil) {
-            ejectionTerm = 0;
-        }
-        suspicion = FIRST_SUSPICION_MILLISECONDS;
-        failureShare -= FAILURE_WEIGHT * failureShare;
+        suspicion.succeed(now);
     }
 
     /**
@@ -399,9 +346,7 @@
      * @param now monotonic milliseconds
      */
     public void fail(long now) {
-        double faded = failureShare(now);
-        failureShare = faded + FAILURE_WEIGHT * (1 - faded);
-        failedAt = now;
+        suspicion.fail(now);
     }
 
     /**
@@ -410,7 +355,6 @@
      * @param now monotonic milliseconds
      */
     public void suspect(long now) {
-        suspectUntil = now + suspicion;
-        suspicion = Math.min(2 * suspicion, LONGEST_SUSPICION_MILLISECONDS);
+        suspicion.suspect(now);
     }
 }
--- a/library/src/main/java/org/siskinramp/gateway/SearchDesk.java
+++ b/library/src/main/java/org/siskinramp/gateway/SearchDesk.java
@@ -192,7 +192,7 @@
         if (failure == null) {
             round.answers++;
             server.seeAnswer(report, now);
-            server.tellHealth(!report.leaving());
+            server.tellHealth(!report.leaving(), now);
             announcements.take(server, report);
         } else {
             AttemptException cause = AttemptException.from(failure);
--- a/library/src/test/java/org/siskinramp/gateway/ModelServers.java
+++ b/library/src/test/java/org/siskinramp/gateway/ModelServers.java
@@ -225,6 +225,12 @@
             return probed;
         }
 
+        /** Lets it say that it is ill, or well again, while its entry says nothing. */
+        Model sayIll(boolean ill) {
+            leaving = ill;
+            return this;
+        }
+
         /** Lets it end under each request whose content begins so. */
         Model endOn(String content) {
             fatalContent = content;
