Give each request of a test its own answer, which traces a test that failed once

CallerServerTest.outlivesACallerThatGoesAway failed once. Cause, shown by a pause of 300 ms before the answer, with which it fails each time: both requests of the test share one future; the gateway cancels the first one's once it notices that its caller left, and the second gets a cancelled answer. Production makes a future for each call.

--- a/daemon/src/test/java/org/siskinramp/daemon/caller/CallerServerTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/caller/CallerServerTest.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.siskinramp.configuration.Configuration;
 import org.siskinramp.configuration.Service;
 import org.siskinramp.configuration.ServiceState;
@@ -55,7 +57,7 @@
             new CallerServer(
                     request -> {
                         seen.set(request);
-                        return answer;
+                        return answer.copy();
                     },
                     configuration::get,
                     clock,
@@ -240,12 +242,15 @@
         stopped.get(5, TimeUnit.SECONDS);
     }
 
-    @Test
-    void outlivesACallerThatGoesAway() throws Exception {
+    /** The answer comes before or after the server notices that the caller has left. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 300})
+    void outlivesACallerThatGoesAway(long laterMilliseconds) throws Exception {
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
             socket.getOutputStream().write(bytes(get("/dispatch/plan", "Caller: c\r\n")));
             awaitOpenRequest();
         }
+        Thread.sleep(laterMilliseconds);
         answer.complete(WHOLE);
         awaitNoOpenRequest();
         assertTrue(ask(get("/dispatch/plan", "Caller: c\r\n")).endsWith("done"));
