Let no failure clear a request that ends servers

Callers: copies of a request that had ended servers were let through again after any whole answer to one of them, also 500, or the 504 that a server gives a request whose time ended in its queue and which it never began.

Cause: each whole answer counted as a run to its end. Change: only answers below 500 clear. Failing first: CrashWatchTest.aFailureClearsNothing (the crash after a 500 was excused).

--- a/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
+++ b/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
@@ -128,9 +128,9 @@
             attempt.server().fail(now);
         } else {
             attempt.server().succeed(now);
+            crashes.completed(attempt.run(), effects);
         }
         attempt.run().endAttempt(attempt.number(), true, true);
-        crashes.completed(attempt.run(), effects);
         environment.measures().took(RequestTime.AT_SERVER, idempotent, now - attempt.sentAt());
         environment.eventLog().record(end(attempt, "answered_" + status, now));
         listener.ended(attempt, answer, AttemptVerdict.ofAnswer(status, idempotent), effects);
--- a/library/src/main/java/org/siskinramp/gateway/CrashWatch.java
+++ b/library/src/main/java/org/siskinramp/gateway/CrashWatch.java
@@ -300,7 +300,10 @@
         return completedAt != null && completedAt >= brokenAt - INNOCENCE_MILLISECONDS;
     }
 
-    /** Notes that a server ran a request to its end, which clears it. */
+    /**
+     * Notes that a server ran a request to its end, which clears it. A failure does not: a server
+     * answers 504 for a request whose time ended in its queue.
+     */
     void completed(GatewayRun run, Effects effects) {
         String content = run.request().contentHash();
         completions.remove(content);
--- a/library/src/test/java/org/siskinramp/gateway/CrashWatchTest.java
+++ b/library/src/test/java/org/siskinramp/gateway/CrashWatchTest.java
@@ -61,6 +61,18 @@
         assertEquals(1, crashes(FATAL).size());
     }
 
+    /** A server fails requests whose time ended in its queue, which it did not begin. */
+    @Test
+    void aFailureClearsNothing() {
+        ModelServers.Model server = publish("a").behave(ModelServers.Behaviour.FAIL);
+        var unused = send(FATAL);
+        time.advance(300);
+        server.behave(ModelServers.Behaviour.ANSWER).endOn(FATAL);
+        unused = send(FATAL);
+        time.advance(500);
+        assertEquals(1, crashes(FATAL).size());
+    }
+
     @Test
     void aNewStartProvesThatTheServerEnded() {
         ModelServers.Model server = publish("a").endOn(FATAL);
