Keep what is known of one suspect request in a class of its own, and take it away in one place

No change of behaviour. The three ways in which crashes are dropped repeated how the end of a refusal is noticed; one method does it now, and the parts of a suspect are no longer set from outside. QuarantineTest, QuarantineRelayTest and CrashingRequestProcessTest pass unchanged.

--- a/library/src/main/java/org/siskinramp/quarantine/Quarantine.java
+++ b/library/src/main/java/org/siskinramp/quarantine/Quarantine.java
@@ -9,7 +9,8 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
+import java.util.function.BiPredicate;
 import org.siskinramp.follow.Changes;
 import org.siskinramp.log.EventLog;
 import org.siskinramp.log.LogEvent;
@@ -30,15 +31,10 @@
     /** The operators' bound counts what arrives after the third server has ended. */
     public static final int CRASHES_TO_REFUSE = 3;
 
-    /** Servers that end under a request are mended by a new version, within hours at best. */
-    private static final long FIRST_TERM_MILLISECONDS = 3_600_000;
-
-    private static final int DOUBLINGS_AT_MOST = 5;
-
     /** A request that ended fewer servers is forgotten after this, a refused one a day later. */
     private static final long MEMORY_MILLISECONDS = 600_000;
 
-    private static final long LONGEST_MEMORY_MILLISECONDS = 24 * FIRST_TERM_MILLISECONDS;
+    private static final long LONGEST_MEMORY_MILLISECONDS = 24 * Suspect.FIRST_TERM_MILLISECONDS;
 
     /** A report is written and read within this time, unless the store is away. */
     private static final long UNREAD_MILLISECONDS = 8_000;
@@ -48,9 +44,6 @@
 
     private static final int CONTENTS_KEPT = 1_000;
 
-    /** More crashes of one request do not change what follows. */
-    private static final int CRASHES_KEPT = CRASHES_TO_REFUSE + DOUBLINGS_AT_MOST;
-
     private final Clock clock;
     private final EventLog eventLog;
     private final Map<String, Suspect> suspects = new LinkedHashMap<>();
@@ -122,7 +115,7 @@
     public synchronized void beginTrial(String content) {
         Suspect suspect = suspects.get(content);
         if (suspect != null) {
-            suspect.changedAt = now();
+            suspect.changeAt(now());
             eventLog.record(
                     LogEvent.named("quarantine_trial")
                             .with("content", content)
@@ -144,17 +137,8 @@
             return;
         }
         Suspect suspect = suspects.computeIfAbsent(crash.content(), content -> new Suspect());
-        Line known = suspect.lines.get(key);
-        if (known != null) {
-            suspect.lines.put(key, new Line(crash, known.read || read, known.addedAt));
-            return;
-        }
-        if (suspect.lines.size() >= CRASHES_KEPT) {
-            return;
-        }
         int before = suspect.crashes();
-        suspect.lines.put(key, new Line(crash, read, now()));
-        suspect.route = crash.route();
+        suspect.add(key, crash, read, now());
         changed(crash.content(), suspect, before);
     }
 
@@ -162,7 +146,7 @@
         if (suspect.crashes() <= before) {
             return;
         }
-        suspect.changedAt = now();
+        suspect.changeAt(now());
         suspects.remove(content);
         suspects.put(content, suspect);
         empty = false;
@@ -183,12 +167,13 @@
     }
 
     private void forget(String content, Suspect suspect, String reason) {
-        suspect.lines.forEach(
-                (key, line) -> {
-                    if (line.read) {
-                        forgottenKeys.add(key);
-                    }
-                });
+        suspect.lines()
+                .forEach(
+                        (key, line) -> {
+                            if (line.read()) {
+                                forgottenKeys.add(key);
+                            }
+                        });
         remove(content, reason);
     }
 
@@ -205,7 +190,7 @@
         eventLog.record(
                 LogEvent.named(event)
                         .with("content", content)
-                        .with("route", suspect.route)
+                        .with("route", suspect.route())
                         .with("crashes", suspect.crashes())
                         .with("backend_servers", suspect.servers())
                         .with("reason", reason));
@@ -226,7 +211,7 @@
                             () -> release((key, line) -> key.equals(change.key())));
         }
         if (changes.whole()) {
-            release((key, line) -> line.read && !keys.contains(key));
+            release((key, line) -> line.read() && !keys.contains(key));
             dropTold(Set.of());
         }
         dropUnread();
@@ -246,8 +231,7 @@
                     && !isAcquitted(acquittedContents, each.content())) {
                 Suspect suspect = suspects.computeIfAbsent(each.content(), key -> new Suspect());
                 int before = suspect.crashes();
-                suspect.told = Math.min(each.crashes(), CRASHES_KEPT);
-                suspect.route = each.route();
+                suspect.tell(each.crashes(), each.route());
                 changed(each.content(), suspect, before);
             }
         }
@@ -258,48 +242,44 @@
     }
 
     private void dropTold(Set<String> kept) {
-        for (Map.Entry<String, Suspect> entry : List.copyOf(suspects.entrySet())) {
-            Suspect suspect = entry.getValue();
-            if (!kept.contains(entry.getKey()) && suspect.told > 0) {
-                boolean wasRefused = suspect.wasRefused();
-                suspect.told = 0;
-                dropIfEmpty(entry.getKey(), suspect, wasRefused);
-            }
-        }
+        changeEach(
+                (content, suspect) -> {
+                    if (!kept.contains(content)) {
+                        suspect.forgetTold();
+                    }
+                });
     }
 
     /** Whoever reads the table had time to tell what stands there. */
     private void dropUnread() {
         long oldest = now() - UNREAD_MILLISECONDS;
-        dropLines((key, line) -> !line.read && line.addedAt < oldest, suspect -> {});
+        changeEach(
+                (content, suspect) ->
+                        suspect.dropLines((key, line) -> !line.read() && line.addedAt() < oldest));
     }
 
     /** Whoever told that the request is refused counted rows that are gone from the table. */
-    private void release(LineFilter dropped) {
-        dropLines(dropped, suspect -> suspect.told = 0);
+    private void release(BiPredicate<String, Suspect.Line> dropped) {
+        changeEach(
+                (content, suspect) -> {
+                    if (suspect.dropLines(dropped)) {
+                        suspect.forgetTold();
+                    }
+                });
     }
 
-    private void dropLines(LineFilter dropped, Consumer<Suspect> whenDropped) {
+    /** Takes some of what is known away, and removes the requests of which nothing is left. */
+    private void changeEach(BiConsumer<String, Suspect> change) {
         for (Map.Entry<String, Suspect> entry : List.copyOf(suspects.entrySet())) {
             Suspect suspect = entry.getValue();
             boolean wasRefused = suspect.wasRefused();
-            boolean removed =
-                    suspect.lines
-                            .entrySet()
-                            .removeIf(line -> dropped.test(line.getKey(), line.getValue()));
-            if (removed) {
-                whenDropped.accept(suspect);
-                dropIfEmpty(entry.getKey(), suspect, wasRefused);
+            change.accept(entry.getKey(), suspect);
+            if (wasRefused && !suspect.wasRefused()) {
+                log("quarantine_ended", entry.getKey(), suspect, "released");
+            }
+            if (suspect.crashes() == 0) {
+                remove(entry.getKey(), "released");
             }
-        }
-    }
-
-    private void dropIfEmpty(String content, Suspect suspect, boolean wasRefused) {
-        if (wasRefused && !suspect.wasRefused()) {
-            log("quarantine_ended", content, suspect, "released");
-        }
-        if (suspect.crashes() == 0) {
-            remove(content, "released");
         }
     }
 
@@ -314,7 +294,7 @@
         if (suspect == null) {
             return List.of();
         }
-        List<String> keys = List.copyOf(suspect.lines.keySet());
+        List<String> keys = List.copyOf(suspect.lines().keySet());
         keys.forEach(key -> acquittedKeys.put(key, now()));
         acquittedContents.put(content, now());
         remove(content, "acquitted");
@@ -362,9 +342,9 @@
     public synchronized List<Crash> unread(long milliseconds) {
         List<Crash> unread = new ArrayList<>();
         for (Suspect suspect : suspects.values()) {
-            for (Line line : suspect.lines.values()) {
-                if (!line.read && now() - line.addedAt >= milliseconds) {
-                    unread.add(line.crash);
+            for (Suspect.Line line : suspect.lines().values()) {
+                if (!line.read() && now() - line.addedAt() >= milliseconds) {
+                    unread.add(line.crash());
                 }
             }
         }
@@ -381,7 +361,7 @@
         for (Map.Entry<String, Suspect> entry : List.copyOf(suspects.entrySet())) {
             Suspect suspect = entry.getValue();
             long memory = suspect.wasRefused() ? LONGEST_MEMORY_MILLISECONDS : MEMORY_MILLISECONDS;
-            if (now - suspect.changedAt > memory) {
+            if (now - suspect.changedAt() > memory) {
                 forget(entry.getKey(), suspect, "old");
             }
         }
@@ -402,45 +382,4 @@
     private long now() {
         return clock.monotonicMilliseconds();
     }
-
-    /** Chooses lines. */
-    private interface LineFilter {
-        boolean test(String key, Line line);
-    }
-
-    private record Line(Crash crash, boolean read, long addedAt) {}
-
-    /** Holds what is known of one request. */
-    private static final class Suspect {
-
-        private final Map<String, Line> lines = new LinkedHashMap<>();
-        private String route = "";
-        private int told;
-        private long changedAt;
-
-        private int crashes() {
-            return Math.max(lines.size(), told);
-        }
-
-        private boolean wasRefused() {
-            return crashes() >= CRASHES_TO_REFUSE;
-        }
-
-        private long refusedMilliseconds(long now) {
-            if (!wasRefused()) {
-                return 0;
-            }
-            int doublings = Math.min(DOUBLINGS_AT_MOST, crashes() - CRASHES_TO_REFUSE);
-            return Math.max(0, changedAt + (FIRST_TERM_MILLISECONDS << doublings) - now);
-        }
-
-        private String servers() {
-            return String.join(
-                    ",", lines.values().stream().map(line -> line.crash.backendServer()).toList());
-        }
-
-        private QuarantinedContent described(String content) {
-            return new QuarantinedContent(content, route, crashes());
-        }
-    }
 }
