Send all probes by one piece of code, and count all repeats by another

No change of behaviour. SearchDesk and CrashWatch each counted, sent and locked their probes, and each had to remember to take in what the answers announce; Probes does. A case for load reports of another server is gone, since the adapter gives none. The tests of the gateway package and the process tests of crashes and announcements pass unchanged.

--- a/library/src/main/java/org/siskinramp/fleet/KnownServer.java
+++ b/library/src/main/java/org/siskinramp/fleet/KnownServer.java
@@ -23,7 +23,7 @@
     private int running = LoadReport.UNKNOWN;
     private int waiting;
     private int pacePercent = 100;
-    private long seenAt = Long.MIN_VALUE / 2;
+    private long seenAt = NEVER;
     private int sentSinceSeen;
     private int inFlight;
     private int probes;
@@ -49,7 +49,7 @@
     private void forget() {
         answered = false;
         running = LoadReport.UNKNOWN;
-        seenAt = Long.MIN_VALUE / 2;
+        seenAt = NEVER;
         suspicion = new Suspicion();
         departing = false;
         pausedUntil = NEVER;
--- a/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
+++ b/library/src/main/java/org/siskinramp/gateway/AttemptDesk.java
@@ -140,9 +140,7 @@
             Open attempt, AttemptException failure, boolean idempotent, Effects effects) {
         long now = environment.clock().monotonicMilliseconds();
         AttemptFailure kind = failure.failure();
-        if (kind != AttemptFailure.WRONG_SERVER) {
-            attempt.server().see(failure.loadReport(), now);
-        }
+        attempt.server().see(failure.loadReport(), now);
         announcements.take(attempt.server(), failure.loadReport());
         if (!kind.isArrival() || kind == AttemptFailure.WRONG_SERVER) {
             attempt.server().suspect(now);
--- a/library/src/main/java/org/siskinramp/gateway/CrashWatch.java
+++ b/library/src/main/java/org/siskinramp/gateway/CrashWatch.java
@@ -8,6 +8,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.siskinramp.attempt.AttemptException;
 import org.siskinramp.attempt.AttemptFailure;
 import org.siskinramp.attempt.LoadReport;
@@ -17,7 +19,6 @@
 import org.siskinramp.quarantine.Crash;
 import org.siskinramp.quarantine.CrashReporter;
 import org.siskinramp.quarantine.Quarantine;
-import org.siskinramp.result.Futures;
 import org.siskinramp.routing.Effects;
 
 /**
@@ -57,7 +58,7 @@
 
     private final GatewayEnvironment environment;
     private final Locked locked;
-    private final Announcements announcements;
+    private final Probes probes;
     private final Quarantine quarantine;
     private final CrashReporter reporter;
     private final Map<String, Doubts> doubtsByServer = new LinkedHashMap<>();
@@ -67,12 +68,12 @@
     CrashWatch(
             GatewayEnvironment environment,
             Locked locked,
-            Announcements announcements,
+            Probes probes,
             Quarantine quarantine,
             CrashReporter reporter) {
         this.environment = environment;
         this.locked = locked;
-        this.announcements = announcements;
+        this.probes = probes;
         this.quarantine = quarantine;
         this.reporter = reporter;
     }
@@ -179,33 +180,7 @@
         if (!doubtsByServer.containsKey(server.server().name()) || server.isPaused(now())) {
             return;
         }
-        long sentAt = now();
-        environment.counters().add(Counter.PROBES);
-        effects.add(
-                () ->
-                        Futures.whenDone(
-                                environment.backendServerLink().probe(server.server()),
-                                (report, failure) ->
-                                        locked.run(
-                                                held ->
-                                                        probed(
-                                                                server, sentAt, report, failure,
-                                                                held))));
-    }
-
-    private void probed(
-            KnownServer server,
-            long sentAt,
-            LoadReport report,
-            Throwable failure,
-            Effects effects) {
-        if (failure == null) {
-            announcements.take(server, report);
-            lives(server, sentAt);
-        } else {
-            failed(server, AttemptException.from(failure).failure(), effects);
-            cutsConnections(server.server().name(), effects);
-        }
+        probes.send(server, new LifeSigns(server, now()), effects);
     }
 
     /** A server that answers no probe for a while after it cut a request's connection is gone. */
@@ -268,19 +243,17 @@
             }
         }
         if (!proved.isEmpty()) {
-            proved.stream()
-                    .map(Crash::route)
-                    .distinct()
-                    .forEach(
-                            route ->
-                                    crashesByRoute
-                                            .computeIfAbsent(route, name -> new RouteCrashes())
-                                            .add(now));
+            Set<String> routes = proved.stream().map(Crash::route).collect(Collectors.toSet());
+            routes.forEach(route -> crashesOf(route).add(now));
             quarantine.add(proved);
             effects.add(() -> reporter.report(proved));
         }
     }
 
+    private RouteCrashes crashesOf(String route) {
+        return crashesByRoute.computeIfAbsent(route, name -> new RouteCrashes());
+    }
+
     private void note(Doubt doubt, boolean innocent, String proof, long now) {
         environment.counters().add(innocent ? Counter.CRASHES_EXCUSED : Counter.CRASHES);
         environment
@@ -346,6 +319,29 @@
         return environment.clock().monotonicMilliseconds();
     }
 
+    /** Takes a probe of a doubted server as a sign of what became of it. */
+    private final class LifeSigns implements Probes.Listener {
+
+        private final KnownServer server;
+        private final long sentAt;
+
+        private LifeSigns(KnownServer server, long sentAt) {
+            this.server = server;
+            this.sentAt = sentAt;
+        }
+
+        @Override
+        public void answered(LoadReport report, Effects effects) {
+            lives(server, sentAt);
+        }
+
+        @Override
+        public void failed(AttemptException failure, Effects effects) {
+            CrashWatch.this.failed(server, failure.failure(), effects);
+            cutsConnections(server.server().name(), effects);
+        }
+    }
+
     /** Describes a break; the server was not full if its connection was cut. */
     private record Doubt(Crash crash, long brokenAt, boolean cut) {}
 
--- a/library/src/main/java/org/siskinramp/gateway/Gateway.java
+++ b/library/src/main/java/org/siskinramp/gateway/Gateway.java
@@ -48,6 +48,7 @@
     private final HostCount hosts;
     private final Quarantine quarantine;
     private final Announcements announcements;
+    private final Probes probes;
     private final CrashWatch crashes;
     private int inProgress;
 
@@ -91,8 +92,8 @@
                         options.retryWindowMilliseconds());
         this.quarantine = quarantine;
         this.announcements = new Announcements(environment, fleet);
-        this.crashes =
-                new CrashWatch(environment, this::locked, announcements, quarantine, reporter);
+        this.probes = new Probes(environment, this::locked, announcements);
+        this.crashes = new CrashWatch(environment, this::locked, probes, quarantine, reporter);
     }
 
     /**
@@ -300,6 +301,7 @@
                                 this::routes,
                                 hosts,
                                 crashes,
+                                probes,
                                 announcements));
     }
 
--- a/library/src/main/java/org/siskinramp/gateway/SearchDesk.java
+++ b/library/src/main/java/org/siskinramp/gateway/SearchDesk.java
@@ -5,9 +5,7 @@
 import org.siskinramp.attempt.AttemptException;
 import org.siskinramp.attempt.LoadReport;
 import org.siskinramp.fleet.KnownServer;
-import org.siskinramp.log.Counter;
 import org.siskinramp.queue.WaitingQueue;
-import org.siskinramp.result.Futures;
 import org.siskinramp.routing.Effects;
 
 /**
@@ -76,7 +74,7 @@
     private final GatewayOptions options;
     private final Locked locked;
     private final CrashWatch crashes;
-    private final Announcements announcements;
+    private final Probes probes;
     private final TokenBucket probeBudget = new TokenBucket(PROBES_KEPT);
     private int searches;
 
@@ -86,13 +84,13 @@
             GatewayOptions options,
             Locked locked,
             CrashWatch crashes,
-            Announcements announcements) {
+            Probes probes) {
         this.pool = pool;
         this.environment = environment;
         this.options = options;
         this.locked = locked;
         this.crashes = crashes;
-        this.announcements = announcements;
+        this.probes = probes;
     }
 
     /** Lets a new request pay for its probes, so that no host has to know how many others probe. */
@@ -147,19 +145,9 @@
     }
 
     private void ask(Round round, List<KnownServer> asked, Effects effects) {
-        environment.counters().add(Counter.PROBES, asked.size());
         for (KnownServer server : asked) {
             server.beginProbe();
-            effects.add(
-                    () ->
-                            Futures.whenDone(
-                                    environment.backendServerLink().probe(server.server()),
-                                    (report, failure) ->
-                                            locked.run(
-                                                    held ->
-                                                            answered(
-                                                                    round, server, report, failure,
-                                                                    held))));
+            probes.send(server, new Question(round, server), effects);
         }
         effects.add(() -> scheduleEnd(round, ROUND_MILLISECONDS));
         effects.add(() -> scheduleEnd(round, LONGEST_ROUND_MILLISECONDS));
@@ -180,32 +168,6 @@
                                         }));
     }
 
-    private void answered(
-            Round round,
-            KnownServer server,
-            LoadReport report,
-            Throwable failure,
-            Effects effects) {
-        server.endProbe();
-        round.open--;
-        long now = now();
-        if (failure == null) {
-            round.answers++;
-            server.seeAnswer(report, now);
-            server.tellHealth(!report.leaving(), now);
-            announcements.take(server, report);
-        } else {
-            AttemptException cause = AttemptException.from(failure);
-            server.see(cause.loadReport(), now);
-            announcements.take(server, cause.loadReport());
-            server.suspect(now);
-            crashes.failed(server, cause.failure(), effects);
-        }
-        if (!round.concluded && (round.open == 0 || hasGood(round, server))) {
-            conclude(round, effects);
-        }
-    }
-
     private boolean hasGood(Round round, KnownServer server) {
         GatewayRun run = round.run;
         return choose(run, List.of(server), FRESH_MILLISECONDS)
@@ -292,6 +254,44 @@
         return environment.clock().monotonicMilliseconds();
     }
 
+    /** Follows one probe of a round. */
+    private final class Question implements Probes.Listener {
+
+        private final Round round;
+        private final KnownServer server;
+
+        private Question(Round round, KnownServer server) {
+            this.round = round;
+            this.server = server;
+        }
+
+        @Override
+        public void answered(LoadReport report, Effects effects) {
+            long now = now();
+            round.answers++;
+            server.seeAnswer(report, now);
+            server.tellHealth(!report.leaving(), now);
+            ended(effects);
+        }
+
+        @Override
+        public void failed(AttemptException failure, Effects effects) {
+            long now = now();
+            server.see(failure.loadReport(), now);
+            server.suspect(now);
+            crashes.failed(server, failure.failure(), effects);
+            ended(effects);
+        }
+
+        private void ended(Effects effects) {
+            server.endProbe();
+            round.open--;
+            if (!round.concluded && (round.open == 0 || hasGood(round, server))) {
+                conclude(round, effects);
+            }
+        }
+    }
+
     /** Follows the probes of one round. */
     private static final class Round {
 
--- a/library/src/main/java/org/siskinramp/gateway/ServicePool.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServicePool.java
@@ -13,7 +13,6 @@
 import org.siskinramp.fleet.KnownServer;
 import org.siskinramp.health.LatencyWindow;
 import org.siskinramp.log.Counter;
-import org.siskinramp.log.LogEvent;
 import org.siskinramp.queue.WaitingQueue;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.route.RouteTable;
@@ -44,7 +43,6 @@
 
     private final String service;
     private final GatewayEnvironment environment;
-    private final GatewayOptions options;
     private final Locked locked;
     private final Supplier<RouteTable> routes;
     private final HostCount hosts;
@@ -55,7 +53,7 @@
     private final SearchDesk searches;
     private final ConcurrencyLimit limit = new ConcurrencyLimit();
     private final PlacementChoice placement;
-    private final RetryBudget retryBudget;
+    private final Repeats repeats;
     private final StartRate startRate = new StartRate();
     private final WaitingQueue<GatewayRun> queue = new WaitingQueue<>();
     private final Map<String, LatencyWindow> latencies = new HashMap<>();
@@ -69,10 +67,10 @@
             Supplier<RouteTable> routes,
             HostCount hosts,
             CrashWatch crashes,
+            Probes probes,
             Announcements announcements) {
         this.service = service;
         this.environment = environment;
-        this.options = options;
         this.locked = locked;
         this.routes = routes;
         this.hosts = hosts;
@@ -81,8 +79,8 @@
         desk = new AttemptDesk(environment, fleet, locked, crashes, announcements, this);
         ends = new RunEnds(environment);
         placement = new PlacementChoice(environment.availabilityZone(), limit);
-        retryBudget = new RetryBudget(options.retryShare(), options.retryWindowMilliseconds());
-        searches = new SearchDesk(this, environment, options, locked, crashes, announcements);
+        repeats = new Repeats(service, environment, options, hosts);
+        searches = new SearchDesk(this, environment, options, locked, crashes, probes);
     }
 
     PlacementChoice placement() {
@@ -96,7 +94,7 @@
     /** Takes a new request in: looks for a server, or turns it away at once. */
     void submit(GatewayRun run, Effects effects) {
         long now = now();
-        retryBudget.countRequest(now);
+        repeats.countRequest(now);
         searches.countRequest();
         if (crashes.holdsBack(run)) {
             ends.holdBack(run, crashes.heldBackMilliseconds(run), effects);
@@ -251,10 +249,7 @@
             run.endWaiting();
             var unused = queue.takeFirst(waiting -> waiting == run);
         }
-        if (run.hasReservedRepeat()) {
-            run.reserveRepeat(false);
-            retryBudget.release();
-        }
+        repeats.release(run);
     }
 
     /** Stops the work on a request whose caller has left. */
@@ -297,10 +292,7 @@
             return false;
         }
         GatewayRun run = next.get();
-        if (run.hasReservedRepeat()) {
-            run.reserveRepeat(false);
-            retryBudget.countRepeat(now);
-        }
+        repeats.send(run, now);
         unqueue(run);
         startRate.add(now);
         desk.start(run, server, run.sendCount() == 0 ? reason : "repeat", effects);
@@ -387,36 +379,13 @@
         if (!possible) {
             return false;
         }
-        if (run.arrivals() > 0) {
-            double slack = hosts.partOf(options.retrySlack(), now);
-            boolean allowed = retryBudget.allows(now, slack);
-            logRepeat(run, allowed, slack, now);
-            environment.counters().add(allowed ? Counter.RETRIES : Counter.RETRIES_DENIED);
-            if (!allowed) {
-                return false;
-            }
-            retryBudget.reserve();
-            run.reserveRepeat(true);
+        if (run.arrivals() > 0 && !repeats.reserve(run, now)) {
+            return false;
         }
         enqueue(run, latestStart, effects);
         return true;
     }
 
-    private void logRepeat(GatewayRun run, boolean allowed, double slack, long now) {
-        environment
-                .eventLog()
-                .record(
-                        LogEvent.named("repeat")
-                                .with("request", run.request().key().requestId())
-                                .with("service", service)
-                                .with("content", run.request().contentHash())
-                                .with("arrivals", run.arrivals())
-                                .with("allowed", allowed)
-                                .with("repeats", retryBudget.repeats(now))
-                                .with("requests", retryBudget.requests(now))
-                                .with("slack", slack));
-    }
-
     /** Uses the room that the end of an attempt left, without asking the server again. */
     private void offer(KnownServer server, Effects effects) {
         long now = now();
