Look at headers only where needed, and wait for a planned stop without polling

No change of behaviour. A stop polled every 20 ms through the seconds in which requests are still taken, which changed nothing, and a question of its loop changed state.

--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/Exchange.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/Exchange.java
@@ -225,8 +225,8 @@
 
     @Override
     public void onContent(Response response, ByteBuffer content) {
-        boolean announced = response.getHeaders().contains(HttpHeader.CONTENT_LENGTH);
         if (body.size() + content.remaining() > answerLimitBytes()) {
+            boolean announced = response.getHeaders().contains(HttpHeader.CONTENT_LENGTH);
             abort(announced ? AttemptFailure.ANSWER_TOO_LARGE : AttemptFailure.ANSWER_ENDLESS);
             return;
         }
--- a/daemon/src/main/java/org/siskinramp/daemon/gateway/GatewayStop.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/gateway/GatewayStop.java
@@ -1,7 +1,6 @@
 package org.siskinramp.daemon.gateway;
 
 import java.util.concurrent.CompletableFuture;
-import java.util.function.BooleanSupplier;
 import org.siskinramp.daemon.caller.CallerServer;
 import org.siskinramp.gateway.Gateway;
 import org.siskinramp.log.EventLog;
@@ -36,7 +35,6 @@
     private final Clock clock;
     private final Scheduler scheduler;
     private final EventLog eventLog;
-    private long busyAt;
 
     GatewayStop(
             Gateway gateway,
@@ -62,31 +60,30 @@
                         .with("grace_ms", graceMilliseconds)
                         .with("requests_in_progress", gateway.inProgress()));
         callers.closeConnections();
-        awaitUntil(Math.min(end, begun + TAKING_MILLISECONDS), () -> false);
+        waitFor(Math.max(0, Math.min(end - begun, TAKING_MILLISECONDS)));
         callers.stopListening();
         callers.refuseNewRequests();
-        busyAt = clock.monotonicMilliseconds();
-        awaitUntil(end, this::isQuiet);
+        awaitQuiet(end);
         eventLog.record(
                 LogEvent.named("stopped")
                         .with("requests_cut", callers.openRequests())
                         .with("took_ms", clock.monotonicMilliseconds() - begun));
     }
 
-    /** Tells whether no request has been in progress for a while. */
-    private boolean isQuiet() {
+    /** Returns once no request has been in progress for a while, or at the end. */
+    private void awaitQuiet(long end) {
         long now = clock.monotonicMilliseconds();
-        if (callers.openRequests() > 0) {
-            busyAt = now;
+        long busyAt = now;
+        while (now < end && now - busyAt < QUIET_MILLISECONDS) {
+            waitFor(POLL_MILLISECONDS);
+            now = clock.monotonicMilliseconds();
+            busyAt = callers.openRequests() > 0 ? now : busyAt;
         }
-        return now - busyAt >= QUIET_MILLISECONDS;
     }
 
-    private void awaitUntil(long end, BooleanSupplier condition) {
-        while (!condition.getAsBoolean() && clock.monotonicMilliseconds() < end) {
-            CompletableFuture<Void> passed = new CompletableFuture<>();
-            scheduler.schedule(POLL_MILLISECONDS, () -> passed.complete(null));
-            passed.join();
-        }
+    private void waitFor(long milliseconds) {
+        CompletableFuture<Void> passed = new CompletableFuture<>();
+        scheduler.schedule(milliseconds, () -> passed.complete(null));
+        passed.join();
     }
 }
