Add tests that fail: servers leave while the store turns some hosts away

RelayWorld plays a store that answers some hosts at once that it is busy, and rows that are removed. Turned-away hosts, readers first, go on sending to servers that left for the whole outage of 9 s; a server whose entry went is kept for 2.3 s at hosts that the store serves too, and after one lost read.

FeedRelayTest did not see it: it checks only hosts that reach the store.

--- a/library/src/main/java/org/siskinramp/follow/GatewayFeed.java
+++ b/library/src/main/java/org/siskinramp/follow/GatewayFeed.java
@@ -31,7 +31,7 @@
      * @param sinceRegained tells how long ago the store was reached again, in milliseconds
      */
     public void takeServers(Changes<ServerChange> changes, LongSupplier sinceRegained) {
-        long kept = Math.max(0, REPUBLISH_MILLISECONDS - sinceRegained.getAsLong());
+        long kept = keptMilliseconds(sinceRegained.getAsLong());
         if (changes.whole()) {
             List<ServerEntry> entries =
                     changes.items().stream()
@@ -46,6 +46,16 @@
         }
     }
 
+    /**
+     * Returns how long a server whose entry went is kept, since it may publish itself again.
+     *
+     * @param sinceRegained how long ago the store was reached again, in milliseconds
+     * @return milliseconds, 0 if it is gone
+     */
+    public static long keptMilliseconds(long sinceRegained) {
+        return Math.max(0, REPUBLISH_MILLISECONDS - sinceRegained);
+    }
+
     /**
      * Takes what operators set.
      *
--- a/library/src/test/java/org/siskinramp/relay/RelayWorld.java
+++ b/library/src/test/java/org/siskinramp/relay/RelayWorld.java
@@ -17,6 +17,7 @@
 import org.siskinramp.follow.ChangeFollower;
 import org.siskinramp.follow.ChangeSource;
 import org.siskinramp.follow.Changes;
+import org.siskinramp.follow.GatewayFeed;
 import org.siskinramp.follow.OperatorChange;
 import org.siskinramp.follow.ServerChange;
 import org.siskinramp.peer.PeerMessage;
@@ -47,6 +48,10 @@
     final Map<String, Host> hosts = new LinkedHashMap<>();
     final Set<String> cutFromStore = new HashSet<>();
     final Set<String> cutFromHosts = new HashSet<>();
+
+    /** Hosts to which the store answers at once that it is busy. */
+    final Set<String> turnedAway = new HashSet<>();
+
     boolean storeOut;
     List<Route> routes = List.of();
     List<String> seeds = List.of();
@@ -93,10 +98,16 @@
     /** Writes a row; a server's row tells that it drains from then on. */
     long write(String key) {
         version++;
-        rows.put(key, new Row(version, key));
+        rows.put(key, new Row(version, key, false));
         return version;
     }
 
+    /** Removes a server's row. */
+    void remove(String key) {
+        version++;
+        rows.put(key, new Row(version, key, true));
+    }
+
     /** Removes the rows of a request as an operator does. */
     void release(String content) {
         for (String key : List.copyOf(crashes.keySet())) {
@@ -131,6 +142,10 @@
             }
 
             private void poll(CompletableFuture<Changes<T>> answer, long after, long end) {
+                if (turnedAway.contains(host.name)) {
+                    time.schedule(CALL_MILLISECONDS, () -> answer.completeExceptionally(lost()));
+                    return;
+                }
                 if (!reaches(host)) {
                     time.schedule(
                             Math.max(0, end - time.monotonicMilliseconds()) + STORE_TIMEOUT,
@@ -148,7 +163,8 @@
             private Changes<T> changes(long after) {
                 List<T> items = new ArrayList<>();
                 for (Row row : rows.values()) {
-                    if (row.key.startsWith(table) && row.version > after) {
+                    boolean told = after >= 0 || !row.removed;
+                    if (told && row.key.startsWith(table) && row.version > after) {
                         items.add(decode.apply(row));
                     }
                 }
@@ -160,7 +176,9 @@
     private <T> CompletableFuture<T> call(Host host, Supplier<T> result) {
         calls++;
         CompletableFuture<T> answer = new CompletableFuture<>();
-        if (reaches(host)) {
+        if (turnedAway.contains(host.name)) {
+            time.schedule(CALL_MILLISECONDS, () -> answer.completeExceptionally(lost()));
+        } else if (reaches(host)) {
             T read = result.get();
             time.schedule(CALL_MILLISECONDS, () -> answer.complete(read));
         } else {
@@ -195,7 +213,7 @@
                 });
     }
 
-    private record Row(long version, String key) {}
+    private record Row(long version, String key, boolean removed) {}
 
     /** Plays one host; what it knows is the greatest version of what it was told of each table. */
     final class Host {
@@ -208,8 +226,10 @@
         int leastCounted = Integer.MAX_VALUE;
         long routesVersion;
         final Set<String> draining = new HashSet<>();
+        final Map<String, Long> goneAt = new TreeMap<>();
         final Set<String> settings = new HashSet<>();
         FeedRelay relay;
+        private ChangeFollower<OperatorChange> operator;
         Quarantine quarantine;
         QuarantineRelay quarantineRelay;
 
@@ -229,6 +249,7 @@
             life++;
             settings.clear();
             draining.clear();
+            goneAt.clear();
             routesVersion = 0;
             long downMilliseconds = 100;
             time.schedule(
@@ -254,11 +275,11 @@
             ChangeFollower<ServerChange> servers =
                     follower(
                             "servers/",
-                            row -> ServerBookTest.there(drainingServer(row.key)),
+                            this::serverChange,
                             this::serversRead,
                             () -> relay.isAsked() ? 1_000 : SERVER_SPAN,
                             () -> 0);
-            ChangeFollower<OperatorChange> operator =
+            operator =
                     follower(
                             "op/",
                             this::operatorChange,
@@ -329,10 +350,27 @@
         }
 
         private void serversRead(Changes<ServerChange> changes) {
-            changes.items().forEach(change -> draining.add(change.name()));
+            long kept =
+                    GatewayFeed.keptMilliseconds(
+                            Math.min(
+                                    operator.sinceRegainedMilliseconds(),
+                                    relay.sinceRegainedMilliseconds()));
+            for (ServerChange change : changes.items()) {
+                if (change.entry().isPresent()) {
+                    draining.add(change.name());
+                } else {
+                    goneAt.putIfAbsent(change.name(), time.monotonicMilliseconds() + kept);
+                }
+            }
             relay.serversRead(changes);
         }
 
+        /** Tells whether the host sends a server nothing that drains or whose row was removed. */
+        boolean sendsNothingTo(String server) {
+            return draining.contains(server)
+                    || goneAt.getOrDefault(server, Long.MAX_VALUE) <= time.monotonicMilliseconds();
+        }
+
         private void operatorRead(Changes<OperatorChange> changes) {
             for (OperatorChange change : changes.items()) {
                 if (change instanceof OperatorChange.Evacuation evacuation) {
@@ -377,6 +415,12 @@
             quarantineRelay.report(List.of(crash));
         }
 
+        private ServerChange serverChange(Row row) {
+            return row.removed
+                    ? ServerBookTest.gone(row.key)
+                    : ServerBookTest.there(drainingServer(row.key));
+        }
+
         private ServerEntry drainingServer(String key) {
             return ServerBookTest.entry(key, true, 0, 1);
         }
