Take no read of the store that is behind, and count its age from its call

After the store had dropped its history, the next read of the whole table was taken whatever its version, so that a read that is behind brings a server back that had gone. And a read counted as made when its answer came, so that a slow store made news look newer than it was.

Cause: only what peers told was compared with the newest known version; ages began at the answer. Change: a read older than what was known when it was asked for is a failure, and asked for again; the age counts from the call, or from the end of its wait.

Evidence: ChangeFollowerTest; aReadOfAllThatIsBehindIsNotTakenAfterTheHistoryIsGone and aReadIsAsOldAsItsCall fail on the code before and pass now.

--- a/library/src/main/java/org/siskinramp/follow/ChangeFollower.java
+++ b/library/src/main/java/org/siskinramp/follow/ChangeFollower.java
@@ -43,7 +43,7 @@
     private final EventLog eventLog;
     private long version = UNKNOWN;
     private long newestVersion = UNKNOWN;
-    private long askedAt;
+    private Call call = new Call(UNKNOWN, 0, 0);
     private volatile int failures;
     private volatile long regainedAt = Long.MIN_VALUE / 2;
     private volatile long readAt = Long.MIN_VALUE / 2;
@@ -224,7 +224,7 @@
     private void ask(long turn) {
         long from;
         long covered;
-        long wait;
+        Call made;
         synchronized (this) {
             if (stopped || asking || turn != newestTurn) {
                 return;
@@ -233,21 +233,26 @@
             covered = wanted ? 0 : coveredUntil - now;
             asking = covered <= 0;
             wanted &= !asking;
-            askedAt = now;
-            from = version;
             // While the store fails, a call that waits would notice its return late.
-            wait = failures > 0 ? 0 : waitMilliseconds.getAsLong();
+            long wait = failures > 0 ? 0 : waitMilliseconds.getAsLong();
+            made = new Call(newestVersion, now, wait);
+            call = made;
+            from = version;
         }
         if (covered > 0) {
             schedule(covered);
             return;
         }
         CompletableFuture<Changes<T>> answer =
-                from == UNKNOWN ? source.readAll() : source.changesAfter(from, wait);
+                from == UNKNOWN
+                        ? source.readAll()
+                        : source.changesAfter(from, made.waitMilliseconds);
         Futures.whenDone(
                 answer,
                 (changes, failure) -> {
-                    if (failure == null) {
+                    if (failure == null && changes.version() < made.newestVersion) {
+                        failed(behind(changes, made));
+                    } else if (failure == null) {
                         take(changes);
                     } else {
                         failed(ResultException.from(failure));
@@ -255,18 +260,25 @@
                 });
     }
 
+    /** A read that misses what is known here would bring back what has gone. */
+    private static ResultException behind(Changes<?> changes, Call made) {
+        return new ResultException(
+                ResultCode.PLATFORM_UNAVAILABLE,
+                "read is behind: version=" + changes.version() + " known=" + made.newestVersion);
+    }
+
     private void take(Changes<T> changes) {
         long pause = 0;
         try {
             synchronized (this) {
                 asking = false;
                 logReturn(changes);
-                long next = askedAt + intervalMilliseconds.getAsLong();
-                pause = wanted ? 0 : Math.max(0, next - clock.monotonicMilliseconds());
-                logReadBehind(changes);
+                long now = clock.monotonicMilliseconds();
+                long next = call.askedAt + intervalMilliseconds.getAsLong();
+                pause = wanted ? 0 : Math.max(0, next - now);
                 if (changes.version() >= version) {
                     // A peer may have told more while the answer was on its way.
-                    follow(changes, clock.monotonicMilliseconds());
+                    follow(changes, call.readAt(changes, now));
                 }
             }
         } finally {
@@ -286,17 +298,6 @@
         }
     }
 
-    private void logReadBehind(Changes<T> changes) {
-        if (changes.version() < newestVersion) {
-            eventLog.record(
-                    LogEvent.named("store_read_behind")
-                            .with("table", name)
-                            .with("version", changes.version())
-                            .with("newest_version", newestVersion)
-                            .with("whole", changes.whole()));
-        }
-    }
-
     private void failed(ResultException failure) {
         long pause = 0;
         synchronized (this) {
@@ -329,6 +330,16 @@
         }
     }
 
+    /** Holds what was known when a call was made. */
+    private record Call(long newestVersion, long askedAt, long waitMilliseconds) {
+
+        /** An answer may be late, so that only the call's time is sure, or the end of its wait. */
+        private long readAt(Changes<?> changes, long now) {
+            boolean waited = waitMilliseconds > 0 && !changes.items().isEmpty();
+            return waited ? now : Math.min(now, askedAt + waitMilliseconds);
+        }
+    }
+
     /**
      * Collects the parts of a follower.
      *
--- a/library/src/test/java/org/siskinramp/follow/ChangeFollowerTest.java
+++ b/library/src/test/java/org/siskinramp/follow/ChangeFollowerTest.java
@@ -95,6 +95,42 @@
         assertEquals(List.of("store_lost", "store_regained"), events);
     }
 
+    @Test
+    void aReadIsAsOldAsItsCall() {
+        CompletableFuture<Changes<String>> slow = new CompletableFuture<>();
+        answers.add(slow);
+        follower.start();
+        time.advance(400);
+        slow.complete(new Changes<>(5, true, List.of("a")));
+        assertEquals(400, follower.ageMilliseconds());
+    }
+
+    /** Otherwise a server that has gone would come back. */
+    @Test
+    void aReadOfAllThatIsBehindIsNotTakenAfterTheHistoryIsGone() {
+        answers.add(done(50, true, "a"));
+        answers.add(failed(ResultCode.HISTORY_GONE));
+        answers.add(done(40, true, "gone before"));
+        answers.add(done(60, true, "b"));
+        follower.start();
+        time.advance(1_050);
+        assertEquals(List.of("a"), taken);
+        assertTrue(events.contains("store_lost"));
+        assertEquals(1_050, follower.ageMilliseconds());
+        time.advance(100);
+        assertEquals(List.of("a", "b"), taken);
+    }
+
+    @Test
+    void changesThatAreBehindDoNotCountAsARead() {
+        answers.add(done(50, true, "a"));
+        answers.add(done(40, false, "old"));
+        follower.start();
+        time.advance(1_050);
+        assertEquals(List.of("a"), taken);
+        assertEquals(1_050, follower.ageMilliseconds());
+    }
+
     @Test
     void makesNoCallsWhileCoveredAndOneOnceTheCoverEnds() {
         answers.add(done(5, true, "a"));
