Let hosts that the store turns away be told by any host that knows more

Cause: news entered a host by its own reads or by one reader. A reader had no source at all; a host that was told told nobody; a source was left after 2.5 s without a message, and any message counted, however old. Class of fault: the belief of the host that hands on news stood for the state of the store.

Change: whoever has no fresh news, readers included, asks three hosts at once, readers first and then the hosts that follow it in the order of all; the first with fresh news becomes the source, and a reader is preferred. Each host tells those that asked it what it was told itself, with the age of the read that it rests on and over how many hosts it came (three at most), so that hosts that tell each other do not take old news for fresh. A host that is told makes no calls at a store that turns it away. The order of the hosts is kept between reads of them.

--- a/daemon/src/test/java/org/siskinramp/daemon/peer/PeerCodecTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/peer/PeerCodecTest.java
@@ -87,7 +87,8 @@
                         6,
                         8,
                         4,
-                        17));
+                        17,
+                        2));
         assertSame(
                 new OperatorNews(
                         9,
@@ -124,7 +125,8 @@
                         6,
                         8,
                         4,
-                        17);
+                        17,
+                        2);
         byte[] frame = codec.encode(news).bytes();
         String changed =
                 HexFormat.of()
--- a/library/src/main/java/org/siskinramp/follow/ChangeFollower.java
+++ b/library/src/main/java/org/siskinramp/follow/ChangeFollower.java
@@ -43,13 +43,13 @@
     private final EventLog eventLog;
     private long version = UNKNOWN;
     private long newestVersion = UNKNOWN;
-    private Call call = new Call(UNKNOWN, 0, 0);
     private volatile int failures;
     private volatile long regainedAt = Long.MIN_VALUE / 2;
-    private volatile long readAt = Long.MIN_VALUE / 2;
+    private final LastRead lastRead = new LastRead();
     private long coveredUntil = Long.MIN_VALUE / 2;
     private boolean wanted;
     private boolean asking;
+    private Call call = new Call(UNKNOWN, 0, 0, false);
     private long newestTurn;
     private volatile boolean synced;
     private volatile boolean stopped;
@@ -112,6 +112,15 @@
         return synced;
     }
 
+    /**
+     * Tells whether the last call failed.
+     *
+     * @return true until a call is answered
+     */
+    public boolean isFailing() {
+        return failures > 0;
+    }
+
     /**
      * Returns how long ago the store was reached again after a failure.
      *
@@ -121,6 +130,15 @@
         return failures > 0 ? 0 : clock.monotonicMilliseconds() - regainedAt;
     }
 
+    /**
+     * Tells whether the last read was that of a peer.
+     *
+     * @return false if this host read the table itself
+     */
+    public boolean isTold() {
+        return lastRead.isTold();
+    }
+
     /**
      * Makes no calls until a time, since a peer tells what it reads of the table.
      *
@@ -162,7 +180,19 @@
      * @return milliseconds, a long time before the first read
      */
     public long ageMilliseconds() {
-        return clock.monotonicMilliseconds() - readAt;
+        return clock.monotonicMilliseconds() - lastRead.readAt();
+    }
+
+    /**
+     * Takes in that a peer read the table and found no change after a version.
+     *
+     * @param unchangedSince the version of the last change that the peer knows
+     * @param ageMilliseconds how long ago it read the table
+     */
+    public synchronized void confirm(long unchangedSince, long ageMilliseconds) {
+        if (version != UNKNOWN && version >= unchangedSince) {
+            lastRead.renew(clock.monotonicMilliseconds() - ageMilliseconds, true);
+        }
     }
 
     /**
@@ -181,7 +211,7 @@
         long offeredReadAt = clock.monotonicMilliseconds() - ageMilliseconds;
         if (version != UNKNOWN && changes.version() <= version) {
             if (changes.version() == version) {
-                readAt = Math.max(readAt, offeredReadAt);
+                lastRead.renew(offeredReadAt, true);
             }
             return true;
         }
@@ -189,12 +219,12 @@
         if (changes.version() < newestVersion || !(changes.whole() || continues)) {
             return false;
         }
-        follow(changes, offeredReadAt);
+        follow(changes, offeredReadAt, true);
         return true;
     }
 
-    private void follow(Changes<T> changes, long changesReadAt) {
-        readAt = changesReadAt;
+    private void follow(Changes<T> changes, long readAt, boolean told) {
+        lastRead.renew(readAt, told);
         version = changes.version();
         newestVersion = Math.max(newestVersion, version);
         listener.accept(changes);
@@ -232,11 +262,11 @@
             long now = clock.monotonicMilliseconds();
             covered = wanted ? 0 : coveredUntil - now;
             asking = covered <= 0;
-            wanted &= !asking;
             // While the store fails, a call that waits would notice its return late.
             long wait = failures > 0 ? 0 : waitMilliseconds.getAsLong();
-            made = new Call(newestVersion, now, wait);
+            made = new Call(newestVersion, now, wait, wanted);
             call = made;
+            wanted &= !asking;
             from = version;
         }
         if (covered > 0) {
@@ -261,7 +291,7 @@
     }
 
     /** A read that misses what is known here would bring back what has gone. */
-    private static ResultException behind(Changes<?> changes, Call made) {
+    private ResultException behind(Changes<T> changes, Call made) {
         return new ResultException(
                 ResultCode.PLATFORM_UNAVAILABLE,
                 "read is behind: version=" + changes.version() + " known=" + made.newestVersion);
@@ -278,7 +308,7 @@
                 pause = wanted ? 0 : Math.max(0, next - now);
                 if (changes.version() >= version) {
                     // A peer may have told more while the answer was on its way.
-                    follow(changes, call.readAt(changes, now));
+                    follow(changes, call.readAt(changes, now), false);
                 }
             }
         } finally {
@@ -302,8 +332,9 @@
         long pause = 0;
         synchronized (this) {
             asking = false;
-            wanted = true;
             boolean historyGone = failure.code() == ResultCode.HISTORY_GONE && version != UNKNOWN;
+            // A covered table is read again only if somebody wants it read.
+            wanted |= call.wanted || historyGone;
             if (historyGone) {
                 eventLog.record(
                         LogEvent.named("store_history_gone")
@@ -330,8 +361,8 @@
         }
     }
 
-    /** Holds what was known when a call was made. */
-    private record Call(long newestVersion, long askedAt, long waitMilliseconds) {
+    /** Holds what was known when a call was made, and whether it was made though covered. */
+    private record Call(long newestVersion, long askedAt, long waitMilliseconds, boolean wanted) {
 
         /** An answer may be late, so that only the call's time is sure, or the end of its wait. */
         private long readAt(Changes<?> changes, long now) {
--- a/library/src/main/java/org/siskinramp/peer/FeedNews.java
+++ b/library/src/main/java/org/siskinramp/peer/FeedNews.java
@@ -18,6 +18,7 @@
  * @param operatorVersion the version of the last change by an operator
  * @param operatorAgeMilliseconds how long ago the operator's table was read
  * @param hosts how many hosts the sender counts, 0 if it does not know yet
+ * @param hops over how many hosts it came to the sender, 0 if that one read the store
  */
 public record FeedNews(
         long sinceVersion,
@@ -31,7 +32,8 @@
         long regainedMilliseconds,
         long operatorVersion,
         long operatorAgeMilliseconds,
-        int hosts)
+        int hosts,
+        int hops)
         implements PeerMessage {
 
     /**
@@ -49,6 +51,7 @@
      * @param operatorVersion the version of the last change by an operator
      * @param operatorAgeMilliseconds the age of the operator's table
      * @param hosts the number of hosts
+     * @param hops over how many hosts it came
      */
     public FeedNews {
         servers = List.copyOf(servers);
--- a/library/src/main/java/org/siskinramp/relay/FeedRelay.java
+++ b/library/src/main/java/org/siskinramp/relay/FeedRelay.java
@@ -1,7 +1,9 @@
 package org.siskinramp.relay;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.IntConsumer;
@@ -25,14 +27,26 @@
  * told. Answers a store whose calls are priced and bounded in number: calls no longer grow with the
  * hosts, and a host whose reader falls silent reads for itself before its sight is too old.
  *
- * <p>Only a host that reads for itself tells others, so what is told is never older than one read
- * and one message. A host that knows nothing yet is told by any other, with the age of what that
- * one knows. Lock order: that of a follower, then that of the relay.
+ * <p>Answers too a store that serves only some hosts: whoever gets no fresh news, readers included,
+ * asks other readers and then any hosts. Each host tells those that asked it, with the age of the
+ * read that it rests on, and says over how many hosts it came. Lock order: that of a follower, then
+ * that of the relay.
  */
 public final class FeedRelay implements Neighbours {
 
-    /** How often a host repeats that it wants to be told. */
-    private static final long ASK_MILLISECONDS = 1_000;
+    /** How often a host looks whether news is overdue. */
+    private static final long TICK_MILLISECONDS = 250;
+
+    /** A host repeats once a second that it wants to be told. */
+    private static final int TICKS_BETWEEN_ASKS = 4;
+
+    /**
+     * News that came over as many hosts is not handed on, so that it cannot go round in circles.
+     */
+    private static final int HOPS_AT_MOST = 3;
+
+    /** What makes a read this much newer is told on; less is the time of a message. */
+    private static final long RENEWAL_MILLISECONDS = 100;
 
     /** Hosts that start for the first time together have published themselves by then. */
     private static final long FIRST_LOOK_MILLISECONDS = 2_500;
@@ -57,18 +71,16 @@
     private final ServerBook book = new ServerBook();
     private final OperatorBook operatorBook = new OperatorBook();
     private final Subscribers subscribers = new Subscribers();
-    private final SourceChoice choice = new SourceChoice();
-    private final NewsParts parts = new NewsParts();
+    private final Map<String, NewsParts> parts = new HashMap<>();
     private final SeedAsks seeds;
-    private final StalenessLog serverStaleness;
-    private final StalenessLog operatorStaleness;
-    private Optional<String> source = Optional.empty();
+    private int ticks;
     private volatile HostPublisher publisher;
     private volatile HostEntry self;
     private volatile PeerSender sender;
     private volatile Followers followers;
     private volatile NewsWriter news;
-    private volatile long fedUntil = Long.MIN_VALUE / 2;
+    private volatile SourceFinder finder;
+    private volatile int toldHops;
     private volatile long regainedElsewhereAt = Long.MIN_VALUE / 2;
 
     /**
@@ -92,10 +104,6 @@
         this.scheduler = scheduler;
         this.eventLog = eventLog;
         this.hostCount = hostCount;
-        this.serverStaleness =
-                new StalenessLog("servers", options.serverSpanMilliseconds(), eventLog);
-        this.operatorStaleness =
-                new StalenessLog("operator", options.operatorSpanMilliseconds(), eventLog);
     }
 
     /**
@@ -113,6 +121,13 @@
         sender = Objects.requireNonNull(peers, "peers");
         followers = Objects.requireNonNull(followed, "followed");
         news = new NewsWriter(book, operatorBook, followed, clock);
+        finder =
+                new SourceFinder(
+                        entry,
+                        table,
+                        subscribers,
+                        new Freshness(options, followed, eventLog),
+                        eventLog);
         publisher = new HostPublisher(registry, entry, scheduler, eventLog);
         if (options.firstStart()) {
             startWithAll();
@@ -123,7 +138,7 @@
         // Nothing waits for the crashes; a reader tells the others which requests to refuse.
         followed.crashes().coverUntil(now() + FIRST_NEWS_MILLISECONDS);
         followed.crashes().start();
-        scheduler.schedule(ASK_MILLISECONDS, this::tick);
+        scheduler.schedule(TICK_MILLISECONDS, this::tick);
     }
 
     /**
@@ -155,7 +170,7 @@
         if (publisher.publishOnce(isThere)) {
             scheduler.schedule(FIRST_LOOK_MILLISECONDS, followers.hosts()::readNow);
         }
-        askSource();
+        askSources();
     }
 
     /** A table that lacks this host may lack others that start now: nobody is counted by it. */
@@ -182,7 +197,7 @@
     }
 
     /**
-     * Takes what this host read of the operator's table, and tells those that asked.
+     * Takes what this host read or was told of the operator's table, and tells those that asked.
      *
      * @param changes the changes
      */
@@ -194,9 +209,6 @@
     }
 
     private void tellAll() {
-        if (isFed()) {
-            return;
-        }
         List<String> hosts;
         synchronized (this) {
             hosts = subscribers.hosts();
@@ -204,21 +216,20 @@
         hosts.forEach(this::tell);
     }
 
-    private boolean isFed() {
-        return now() < fedUntil;
+    private int hops() {
+        return followers.servers().isTold() ? toldHops : 0;
     }
 
     private void tell(String host) {
         List<PeerMessage> messages;
         synchronized (this) {
-            if (book.version() < 0 || operatorBook.version() == 0) {
+            long told = subscribers.toldVersion(host);
+            boolean tooFar = hops() >= HOPS_AT_MOST && told >= 0;
+            if (tooFar || book.version() < 0 || operatorBook.version() == 0) {
                 return;
             }
             messages =
-                    news.since(
-                            subscribers.toldVersion(host),
-                            subscribers.toldOperatorVersion(host),
-                            countHosts());
+                    news.since(told, subscribers.toldOperatorVersion(host), countHosts(), hops());
             subscribers.told(host, book.version(), operatorBook.version());
         }
         messages.forEach(message -> sender.send(host, message));
@@ -245,8 +256,7 @@
         synchronized (this) {
             news = subscribers.ask(host, ask, now());
         }
-        boolean knowsNothing = ask.version() < 0;
-        if (news && (knowsNothing || !isFed())) {
+        if (news) {
             tell(host);
         }
     }
@@ -257,22 +267,30 @@
             if (!listensTo(host)) {
                 return;
             }
-            choice.heard(now());
-            entries = parts.add(news);
+            entries = parts.computeIfAbsent(host, name -> new NewsParts()).add(news);
         }
         if (entries.isEmpty()) {
             return;
         }
+        long version = followers.servers().version();
+        long age = followers.servers().ageMilliseconds();
         regainedElsewhereAt = now() - news.regainedMilliseconds();
-        if (followers
+        toldHops = news.hops() + 1;
+        followers.operator().confirm(news.operatorVersion(), news.operatorAgeMilliseconds());
+        if (!followers
                 .servers()
                 .offer(
                         news.sinceVersion(),
                         changesOf(news, entries.get()),
                         news.ageMilliseconds())) {
-            cover(news);
-        } else {
             ask(host);
+            return;
+        }
+        heard(host, news);
+        boolean renewed = age - followers.servers().ageMilliseconds() > RENEWAL_MILLISECONDS;
+        if (renewed && followers.servers().version() == version) {
+            // The follower's listener tells only changes.
+            tellAll();
         }
     }
 
@@ -287,6 +305,18 @@
                 .offer(news.version(), OperatorBook.changesOf(news), news.ageMilliseconds());
     }
 
+    private void heard(String host, FeedNews news) {
+        boolean reads;
+        synchronized (this) {
+            reads = isReader();
+            finder.heard(host, news, now());
+        }
+        if (!reads) {
+            cover(news);
+        }
+        follow(news.hosts());
+    }
+
     private static Changes<ServerChange> changesOf(FeedNews news, List<ServerEntry> entries) {
         List<ServerChange> changes = new ArrayList<>(entries.size() + news.gone().size());
         entries.forEach(
@@ -295,11 +325,11 @@
         return new Changes<>(news.version(), news.whole(), changes);
     }
 
+    /** Makes no calls while another host's reads stand in; a reader goes on trying for all. */
     private void cover(FeedNews news) {
         long serversUntil = now() - news.ageMilliseconds() + options.serverSpanMilliseconds();
         long operatorUntil =
                 now() - news.operatorAgeMilliseconds() + options.operatorSpanMilliseconds();
-        fedUntil = Math.min(serversUntil, operatorUntil);
         followers.servers().coverUntil(serversUntil);
         followers.crashes().coverUntil(serversUntil);
         followers.operator().coverUntil(operatorUntil);
@@ -309,41 +339,42 @@
         if (followers.operator().version() < news.operatorVersion()) {
             followers.operator().readNow();
         }
-        follow(news.hosts());
     }
 
     private void tick() {
         try {
+            boolean asks;
+            boolean late;
             synchronized (this) {
-                subscribers.dropSilent(now());
-                logStaleness();
+                ticks++;
+                asks = ticks % TICKS_BETWEEN_ASKS == 0;
+                late = finder.isLate(now());
+                finder.logFreshness();
+                if (asks) {
+                    subscribers.dropSilent(now());
+                    parts.keySet().removeIf(host -> !listensTo(host));
+                }
+            }
+            if (asks || late) {
+                askSources();
+            }
+            if (asks) {
+                askSeed();
             }
-            askSource();
-            askSeed();
         } finally {
-            scheduler.schedule(ASK_MILLISECONDS, this::tick);
+            scheduler.schedule(TICK_MILLISECONDS, this::tick);
         }
     }
 
-    private void logStaleness() {
-        String teller = source.orElse("none");
-        if (followers.servers().isSynced()) {
-            serverStaleness.follow(followers.servers().ageMilliseconds(), teller);
-        }
-        if (followers.operator().isSynced()) {
-            operatorStaleness.follow(followers.operator().ageMilliseconds(), teller);
-        }
-    }
-
-    /** Asks the reader of this host, or has this host read if it is a reader itself. */
-    private void askSource() {
-        Optional<String> asked;
+    /** Asks the source of this host, or looks for one; has a reader read. */
+    private void askSources() {
+        List<String> asked;
         boolean reads;
         synchronized (this) {
             reads = isReader();
-            asked = chooseSource(reads);
+            asked = finder.hostsToAsk(now());
         }
-        asked.ifPresent(this::ask);
+        asked.forEach(this::ask);
         if (reads && !followers.servers().isSynced()) {
             followers.servers().endCover();
             followers.operator().endCover();
@@ -385,28 +416,12 @@
     /** Whatever tells a host that knows nothing yet is welcome. */
     @Override
     public synchronized boolean listensTo(String host) {
-        return choice.isSource(host) || !followers.hosts().isSynced();
+        return finder.wasAsked(host) || !followers.hosts().isSynced();
     }
 
     @Override
     public synchronized boolean isReader() {
-        return table.readers(now()).stream().anyMatch(reader -> reader.name().equals(self.name()));
-    }
-
-    private Optional<String> chooseSource(boolean reads) {
-        long now = now();
-        Optional<String> chosen =
-                reads ? Optional.empty() : choice.next(table.readersFor(self, now), now);
-        if (!chosen.equals(source)) {
-            source = chosen;
-            parts.clear();
-            eventLog.record(
-                    LogEvent.named("feed_source")
-                            .with("peer", chosen.orElse("none"))
-                            .with("reads_for_others", reads)
-                            .with("hosts", table.count(self.name(), now)));
-        }
-        return chosen;
+        return finder.isReader(now());
     }
 
     private void ask(String host) {
--- a/library/src/main/java/org/siskinramp/relay/HostTable.java
+++ b/library/src/main/java/org/siskinramp/relay/HostTable.java
@@ -36,13 +36,20 @@
             Comparator.comparingLong((HostEntry host) -> hash(host.name()))
                     .thenComparing(HostEntry::name);
 
+    /** How long the order of the hosts is kept while none is read that changes it. */
+    private static final long ORDER_KEPT_MILLISECONDS = 10_000;
+
     private final Map<String, Seen> hosts = new HashMap<>();
+    private List<HostEntry> ordered = List.of();
+    private List<HostEntry> readers = List.of();
+    private long orderedUntil = Long.MIN_VALUE;
 
     private static long hash(String name) {
         return HASH.hashBytes(name.getBytes(StandardCharsets.UTF_8));
     }
 
     void follow(Changes<HostChange> changes, long now) {
+        orderedUntil = Long.MIN_VALUE;
         if (changes.whole()) {
             hosts.clear();
         }
@@ -56,14 +63,27 @@
 
     /** Counts the hosts, the asking one included even if its entry was not read yet. */
     int count(String self, long now) {
-        int counted = (int) present(now).stream().filter(host -> !host.name().equals(self)).count();
-        return counted + 1;
+        List<HostEntry> present = ordered(now);
+        boolean lacksSelf = present.stream().noneMatch(host -> host.name().equals(self));
+        return present.size() + (lacksSelf ? 1 : 0);
     }
 
     /** Lists the hosts that read for the others. */
     List<HostEntry> readers(long now) {
-        List<HostEntry> ordered = present(now);
-        ordered.sort(ORDER);
+        ordered(now);
+        return readers;
+    }
+
+    private List<HostEntry> ordered(long now) {
+        if (now >= orderedUntil) {
+            ordered = present(now);
+            readers = chooseReaders();
+            orderedUntil = now + ORDER_KEPT_MILLISECONDS;
+        }
+        return ordered;
+    }
+
+    private List<HostEntry> chooseReaders() {
         if (ordered.size() <= HOSTS_OF_TWO_READERS) {
             return ordered.subList(0, Math.min(FEWEST_READERS, ordered.size()));
         }
@@ -71,11 +91,11 @@
         for (HostEntry host : ordered) {
             byZone.computeIfAbsent(host.availabilityZone(), zone -> new ArrayList<>()).add(host);
         }
-        List<HostEntry> readers = new ArrayList<>();
+        List<HostEntry> chosen = new ArrayList<>();
         for (List<HostEntry> zone : byZone.values()) {
-            readers.addAll(zone.subList(0, ceil(zone.size(), HOSTS_OF_A_READER)));
+            chosen.addAll(zone.subList(0, ceil(zone.size(), HOSTS_OF_A_READER)));
         }
-        return readers;
+        return chosen;
     }
 
     /** Lists the readers in the order in which a host asks them: those of its zone come first. */
@@ -90,6 +110,23 @@
         return readers;
     }
 
+    /** Lists the hosts that follow one in the order of all, so that none is asked by many. */
+    List<HostEntry> neighboursOf(HostEntry self, int most, long now) {
+        List<HostEntry> order = ordered(now);
+        int first = 0;
+        while (first < order.size() && ORDER.compare(order.get(first), self) <= 0) {
+            first++;
+        }
+        List<HostEntry> neighbours = new ArrayList<>();
+        for (int place = 0; place < order.size() && neighbours.size() < most; place++) {
+            HostEntry host = order.get((first + place) % order.size());
+            if (!host.name().equals(self.name())) {
+                neighbours.add(host);
+            }
+        }
+        return neighbours;
+    }
+
     boolean holds(HostEntry entry) {
         Seen seen = hosts.get(entry.name());
         return seen != null && seen.entry.equals(entry);
@@ -106,6 +143,7 @@
                 present.add(seen.entry);
             }
         }
+        present.sort(ORDER);
         return present;
     }
 
--- a/library/src/main/java/org/siskinramp/relay/NewsWriter.java
+++ b/library/src/main/java/org/siskinramp/relay/NewsWriter.java
@@ -25,7 +25,7 @@
     }
 
     /** Writes messages for a host that was told both tables up to these versions. */
-    List<PeerMessage> since(long serversTold, long operatorTold, int hosts) {
+    List<PeerMessage> since(long serversTold, long operatorTold, int hosts, int hops) {
         List<PeerMessage> messages = new ArrayList<>();
         if (operatorTold < operator.version()) {
             operator.news(followers.operator().ageMilliseconds()).ifPresent(messages::add);
@@ -48,7 +48,8 @@
                             followers.sinceRegainedMilliseconds(),
                             operator.version(),
                             followers.operator().ageMilliseconds(),
-                            hosts));
+                            hosts,
+                            hops));
             from = to;
         } while (from < news.entries().size());
         return messages;
--- a/library/src/main/java/org/siskinramp/relay/RelayOptions.java
+++ b/library/src/main/java/org/siskinramp/relay/RelayOptions.java
@@ -33,6 +33,28 @@
     /** Two reads fit into a span, so that one that comes late makes no other host read. */
     private static final double READ_PART = 0.67;
 
+    /** Between the time of the next read and the end of a span. */
+    private static final double LATE_PART = 0.835;
+
+    /** A host that nobody asks reads once in a span. */
+    private static final double LATE_PART_ALONE = 1.1;
+
+    long serverLateMilliseconds() {
+        return Math.round(LATE_PART * serverSpanMilliseconds);
+    }
+
+    long operatorLateMilliseconds() {
+        return Math.round(LATE_PART * operatorSpanMilliseconds);
+    }
+
+    long serverLateAloneMilliseconds() {
+        return Math.round(LATE_PART_ALONE * serverSpanMilliseconds);
+    }
+
+    long operatorLateAloneMilliseconds() {
+        return Math.round(LATE_PART_ALONE * operatorSpanMilliseconds);
+    }
+
     /**
      * Returns how often a host that tells others reads the backend servers.
      *
--- a/library/src/test/java/org/siskinramp/follow/ChangeFollowerTest.java
+++ b/library/src/test/java/org/siskinramp/follow/ChangeFollowerTest.java
@@ -84,6 +84,17 @@
         assertFalse(follower.isSynced());
     }
 
+    @Test
+    void tellsThatTheStoreFailsUntilItIsReachedAgain() {
+        answers.add(failed(ResultCode.PLATFORM_UNAVAILABLE));
+        answers.add(done(5, true, "a"));
+        follower.start();
+        assertTrue(follower.isFailing());
+        time.advance(400);
+        assertFalse(follower.isFailing());
+        assertEquals(List.of("store_lost", "store_regained"), events);
+    }
+
     @Test
     void tellsHowLongAgoTheStoreWasReachedAgain() {
         answers.add(failed(ResultCode.PLATFORM_UNAVAILABLE));
@@ -115,7 +126,7 @@
         follower.start();
         time.advance(1_050);
         assertEquals(List.of("a"), taken);
-        assertTrue(events.contains("store_lost"));
+        assertTrue(follower.isFailing());
         assertEquals(1_050, follower.ageMilliseconds());
         time.advance(100);
         assertEquals(List.of("a", "b"), taken);
@@ -131,6 +142,28 @@
         assertEquals(1_050, follower.ageMilliseconds());
     }
 
+    @Test
+    void aPeerThatReadNoChangeConfirmsWhatIsKnown() {
+        answers.add(done(5, true, "a"));
+        follower.start();
+        time.advance(900);
+        follower.confirm(6, 10);
+        assertEquals(900, follower.ageMilliseconds());
+        follower.confirm(5, 10);
+        assertEquals(10, follower.ageMilliseconds());
+    }
+
+    @Test
+    void stopsCallingAFailingStoreWhileAPeerTells() {
+        answers.add(done(5, true, "a"));
+        answers.add(failed(ResultCode.PLATFORM_UNAVAILABLE));
+        follower.start();
+        time.advance(1_050);
+        follower.coverUntil(4_000);
+        time.advance(3_500);
+        assertEquals(List.of("all@0", "after-5@1000", "after-5@4000"), calls);
+    }
+
     @Test
     void makesNoCallsWhileCoveredAndOneOnceTheCoverEnds() {
         answers.add(done(5, true, "a"));
--- a/library/src/test/java/org/siskinramp/relay/HostTableTest.java
+++ b/library/src/test/java/org/siskinramp/relay/HostTableTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
@@ -79,6 +80,21 @@
         assertEquals(readers, asked);
     }
 
+    @Test
+    void eachHostIsTheNeighbourOfAsManyOthers() {
+        publish(97, 0);
+        Map<String, Integer> asked = new TreeMap<>();
+        for (int number = 0; number < 97; number++) {
+            HostEntry self = host(number);
+            List<HostEntry> neighbours = table.neighboursOf(self, 8, 0);
+            assertEquals(8, neighbours.size());
+            assertTrue(neighbours.stream().noneMatch(self::equals));
+            neighbours.forEach(neighbour -> asked.merge(neighbour.name(), 1, Integer::sum));
+        }
+        assertEquals(97, asked.size());
+        asked.forEach((host, count) -> assertTrue(count == 8, host + " " + count));
+    }
+
     @Test
     void hostsThatNoLongerRenewTheirEntryAreNotCounted() {
         publish(4, 0);
--- a/library/src/test/java/org/siskinramp/relay/NewsPartsTest.java
+++ b/library/src/test/java/org/siskinramp/relay/NewsPartsTest.java
@@ -14,7 +14,7 @@
 
     private static FeedNews part(long version, int part, boolean more, String server) {
         List<ServerEntry> servers = List.of(ServerBookTest.entry(server, false, 0, 1));
-        return new FeedNews(-1, version, true, part, more, servers, List.of(), 0, 0, 1, 0, 3);
+        return new FeedNews(-1, version, true, part, more, servers, List.of(), 0, 0, 1, 0, 3, 0);
     }
 
     private Optional<List<String>> add(FeedNews news) {
--- a/library/src/test/java/org/siskinramp/relay/RelayWorld.java
+++ b/library/src/test/java/org/siskinramp/relay/RelayWorld.java
@@ -39,7 +39,6 @@
     static final long SERVER_SPAN = 1_500;
     static final long OPERATOR_SPAN = 1_500;
     private static final long CALL_MILLISECONDS = 5;
-    private static final long MESSAGE_MILLISECONDS = 1;
     private static final long STORE_TIMEOUT = 700;
     private static final long START_GAP = 40;
     private static final CallerLimits LIMITS = new CallerLimits(1, 1, 1, 1);
@@ -57,6 +56,7 @@
     List<String> seeds = List.of();
     int calls;
     int messages;
+    long messageMilliseconds = 1;
     private final Map<String, Row> rows = new TreeMap<>();
     private final Map<String, Crash> crashes = new TreeMap<>();
     private final boolean firstStart;
@@ -98,14 +98,20 @@
     /** Writes a row; a server's row tells that it drains from then on. */
     long write(String key) {
         version++;
-        rows.put(key, new Row(version, key, false));
+        rows.put(key, new Row(version, key, State.DRAINS));
         return version;
     }
 
+    /** Writes a server's row that tells that it serves. */
+    void serve(String key) {
+        version++;
+        rows.put(key, new Row(version, key, State.SERVES));
+    }
+
     /** Removes a server's row. */
     void remove(String key) {
         version++;
-        rows.put(key, new Row(version, key, true));
+        rows.put(key, new Row(version, key, State.REMOVED));
     }
 
     /** Removes the rows of a request as an operator does. */
@@ -163,7 +169,7 @@
             private Changes<T> changes(long after) {
                 List<T> items = new ArrayList<>();
                 for (Row row : rows.values()) {
-                    boolean told = after >= 0 || !row.removed;
+                    boolean told = after >= 0 || row.state != State.REMOVED;
                     if (told && row.key.startsWith(table) && row.version > after) {
                         items.add(decode.apply(row));
                     }
@@ -202,7 +208,7 @@
                         .map(address -> address.substring(0, address.indexOf(':')))
                         .orElse(receiver);
         time.schedule(
-                MESSAGE_MILLISECONDS,
+                messageMilliseconds,
                 () -> {
                     boolean cut = cutFromHosts.contains(from) || cutFromHosts.contains(to);
                     Host reached = hosts.get(to);
@@ -213,7 +219,13 @@
                 });
     }
 
-    private record Row(long version, String key, boolean removed) {}
+    private record Row(long version, String key, State state) {}
+
+    private enum State {
+        SERVES,
+        DRAINS,
+        REMOVED
+    }
 
     /** Plays one host; what it knows is the greatest version of what it was told of each table. */
     final class Host {
@@ -229,6 +241,7 @@
         final Map<String, Long> goneAt = new TreeMap<>();
         final Set<String> settings = new HashSet<>();
         FeedRelay relay;
+        ChangeFollower<ServerChange> servers;
         private ChangeFollower<OperatorChange> operator;
         Quarantine quarantine;
         QuarantineRelay quarantineRelay;
@@ -272,7 +285,7 @@
                             scheduler(),
                             event -> {},
                             this::count);
-            ChangeFollower<ServerChange> servers =
+            servers =
                     follower(
                             "servers/",
                             this::serverChange,
@@ -356,9 +369,9 @@
                                     operator.sinceRegainedMilliseconds(),
                                     relay.sinceRegainedMilliseconds()));
             for (ServerChange change : changes.items()) {
-                if (change.entry().isPresent()) {
+                if (change.entry().filter(ServerEntry::leaving).isPresent()) {
                     draining.add(change.name());
-                } else {
+                } else if (change.entry().isEmpty()) {
                     goneAt.putIfAbsent(change.name(), time.monotonicMilliseconds() + kept);
                 }
             }
@@ -416,13 +429,10 @@
         }
 
         private ServerChange serverChange(Row row) {
-            return row.removed
+            return row.state == State.REMOVED
                     ? ServerBookTest.gone(row.key)
-                    : ServerBookTest.there(drainingServer(row.key));
-        }
-
-        private ServerEntry drainingServer(String key) {
-            return ServerBookTest.entry(key, true, 0, 1);
+                    : ServerBookTest.there(
+                            ServerBookTest.entry(row.key, row.state == State.DRAINS, 0, 1));
         }
 
         private String nameOf(String key) {
