Keep a server whose entry went only after a time without reads

What callers saw: requests at servers that had left without a word before, up to 2.3 s longer than news takes, with answers lost once these ended.

Cause: a server whose entry went was kept for 2.3 s since this host, or the host that told it, had last failed to reach the store, whichever was less; one lost read of the operator's table was enough, such as the cut of all waiting calls when the store drops its history. That patience is for entries that lapse while the store cannot be written. Class of fault: a failure of one's own read stood for an outage of the store.

Change: an entry can have lapsed only in 3 s without any read, by this host or by one that told it, which is two heartbeats of silence and more. A host tells how long ago such a time ended; one that read all the while shows the others that there was none, also after they kept a server.

--- a/library/src/main/java/org/siskinramp/fleet/Fleet.java
+++ b/library/src/main/java/org/siskinramp/fleet/Fleet.java
@@ -69,6 +69,22 @@
         return true;
     }
 
+    /**
+     * Returns the names of the servers whose entries went and which are not gone yet.
+     *
+     * @param now monotonic milliseconds
+     * @return the names
+     */
+    public Set<String> kept(long now) {
+        Set<String> kept = new HashSet<>();
+        for (KnownServer server : servers.values()) {
+            if (server.isLapsing(now)) {
+                kept.add(server.server().name());
+            }
+        }
+        return kept;
+    }
+
     /**
      * Forgets the servers that are gone, have no request of this host, and did not just ask for
      * something.
--- a/library/src/main/java/org/siskinramp/fleet/KnownServer.java
+++ b/library/src/main/java/org/siskinramp/fleet/KnownServer.java
@@ -65,6 +65,11 @@
         goneAt = Math.min(goneAt, milliseconds);
     }
 
+    /** Tells whether its entry went, and it is kept for a time. */
+    boolean isLapsing(long now) {
+        return goneAt != Long.MAX_VALUE && !isGone(now);
+    }
+
     boolean isGone(long now) {
         return now >= goneAt;
     }
--- a/library/src/main/java/org/siskinramp/follow/ChangeFollower.java
+++ b/library/src/main/java/org/siskinramp/follow/ChangeFollower.java
@@ -44,7 +44,6 @@
     private long version = UNKNOWN;
     private long newestVersion = UNKNOWN;
     private volatile int failures;
-    private volatile long regainedAt = Long.MIN_VALUE / 2;
     private final LastRead lastRead = new LastRead();
     private long coveredUntil = Long.MIN_VALUE / 2;
     private boolean wanted;
@@ -122,12 +121,13 @@
     }
 
     /**
-     * Returns how long ago the store was reached again after a failure.
+     * Returns how long ago a time ended in which nobody read the table for this host, long enough
+     * for an entry to lapse.
      *
-     * @return milliseconds, a long time if there was no failure
+     * @return milliseconds, a long time if there was no such time
      */
-    public long sinceRegainedMilliseconds() {
-        return failures > 0 ? 0 : clock.monotonicMilliseconds() - regainedAt;
+    public long sinceGapMilliseconds() {
+        return clock.monotonicMilliseconds() - lastRead.gapEndedAt();
     }
 
     /**
@@ -318,7 +318,6 @@
 
     private void logReturn(Changes<T> changes) {
         if (failures > 0) {
-            regainedAt = clock.monotonicMilliseconds();
             eventLog.record(
                     LogEvent.named("store_regained")
                             .with("table", name)
--- a/library/src/main/java/org/siskinramp/follow/GatewayFeed.java
+++ b/library/src/main/java/org/siskinramp/follow/GatewayFeed.java
@@ -28,10 +28,13 @@
      * Takes entries of backend servers.
      *
      * @param changes what was read
-     * @param sinceRegained tells how long ago the store was reached again, in milliseconds
+     * @param sinceGap tells how long ago a time without reads ended, in milliseconds
      */
-    public void takeServers(Changes<ServerChange> changes, LongSupplier sinceRegained) {
-        long kept = keptMilliseconds(sinceRegained.getAsLong());
+    public void takeServers(Changes<ServerChange> changes, LongSupplier sinceGap) {
+        long kept = keptMilliseconds(sinceGap.getAsLong());
+        if (kept == 0) {
+            gateway.dropLapsed();
+        }
         if (changes.whole()) {
             List<ServerEntry> entries =
                     changes.items().stream()
@@ -49,11 +52,11 @@
     /**
      * Returns how long a server whose entry went is kept, since it may publish itself again.
      *
-     * @param sinceRegained how long ago the store was reached again, in milliseconds
+     * @param sinceGap how long ago a time without reads ended, in milliseconds
      * @return milliseconds, 0 if it is gone
      */
-    public static long keptMilliseconds(long sinceRegained) {
-        return Math.max(0, REPUBLISH_MILLISECONDS - sinceRegained);
+    public static long keptMilliseconds(long sinceGap) {
+        return Math.max(0, REPUBLISH_MILLISECONDS - sinceGap);
     }
 
     /**
--- a/library/src/main/java/org/siskinramp/gateway/Gateway.java
+++ b/library/src/main/java/org/siskinramp/gateway/Gateway.java
@@ -211,6 +211,16 @@
                 });
     }
 
+    /**
+     * Takes servers as gone whose entries went and which are kept, since it has become known that
+     * these entries did not lapse.
+     */
+    public void dropLapsed() {
+        Set<String> kept = new HashSet<>();
+        locked(effects -> kept.addAll(fleet.kept(now())));
+        kept.forEach(name -> remove(name, 0));
+    }
+
     /**
      * Takes all entries in: those that are not among them are gone.
      *
--- a/library/src/main/java/org/siskinramp/peer/FeedNews.java
+++ b/library/src/main/java/org/siskinramp/peer/FeedNews.java
@@ -14,7 +14,8 @@
  * @param servers entries that are new or changed
  * @param gone names of servers whose entries went
  * @param ageMilliseconds how long ago the servers were read
- * @param regainedMilliseconds how long ago the sender reached the store again after a failure
+ * @param sinceGapMilliseconds how long ago a time ended in which no host that the sender knows of
+ *     read the servers, long enough for entries to lapse
  * @param operatorVersion the version of the last change by an operator
  * @param operatorAgeMilliseconds how long ago the operator's table was read
  * @param hosts how many hosts the sender counts, 0 if it does not know yet
@@ -29,7 +30,7 @@
         List<ServerEntry> servers,
         List<String> gone,
         long ageMilliseconds,
-        long regainedMilliseconds,
+        long sinceGapMilliseconds,
         long operatorVersion,
         long operatorAgeMilliseconds,
         int hosts,
@@ -47,7 +48,7 @@
      * @param servers the entries
      * @param gone the names of servers that went
      * @param ageMilliseconds the age of the servers
-     * @param regainedMilliseconds how long ago the store was reached again
+     * @param sinceGapMilliseconds how long ago a time without reads ended
      * @param operatorVersion the version of the last change by an operator
      * @param operatorAgeMilliseconds the age of the operator's table
      * @param hosts the number of hosts
--- a/library/src/main/java/org/siskinramp/relay/FeedRelay.java
+++ b/library/src/main/java/org/siskinramp/relay/FeedRelay.java
@@ -81,7 +81,8 @@
     private volatile NewsWriter news;
     private volatile SourceFinder finder;
     private volatile int toldHops;
-    private volatile long regainedElsewhereAt = Long.MIN_VALUE / 2;
+    private long toldGapEndedAt = Long.MIN_VALUE / 2;
+    private long toldReadAt = Long.MIN_VALUE / 2;
 
     /**
      * Creates a relay, which must be started.
@@ -229,7 +230,12 @@
                 return;
             }
             messages =
-                    news.since(told, subscribers.toldOperatorVersion(host), countHosts(), hops());
+                    news.since(
+                            told,
+                            subscribers.toldOperatorVersion(host),
+                            countHosts(),
+                            sinceGapMilliseconds(),
+                            hops());
             subscribers.told(host, book.version(), operatorBook.version());
         }
         messages.forEach(message -> sender.send(host, message));
@@ -274,7 +280,7 @@
         }
         long version = followers.servers().version();
         long age = followers.servers().ageMilliseconds();
-        regainedElsewhereAt = now() - news.regainedMilliseconds();
+        noteGap(news);
         toldHops = news.hops() + 1;
         followers.operator().confirm(news.operatorVersion(), news.operatorAgeMilliseconds());
         if (!followers
@@ -294,6 +300,15 @@
         }
     }
 
+    /** A host that read all the while shows that the store was not away. */
+    private synchronized void noteGap(FeedNews news) {
+        long readAt = now() - news.ageMilliseconds();
+        if (readAt >= toldReadAt) {
+            toldReadAt = readAt;
+            toldGapEndedAt = now() - news.sinceGapMilliseconds();
+        }
+    }
+
     private void told(String host, OperatorNews news) {
         synchronized (this) {
             if (!listensTo(host)) {
@@ -450,12 +465,15 @@
     }
 
     /**
-     * Returns how long ago the host that tells this one reached the store again.
+     * Returns how long ago a time ended in which the servers were read by no host that this one
+     * knows of, long enough for entries to lapse.
      *
-     * @return milliseconds, a long time if there was no failure
+     * @return milliseconds, a long time if there was no such time
      */
-    public long sinceRegainedMilliseconds() {
-        return now() - regainedElsewhereAt;
+    public synchronized long sinceGapMilliseconds() {
+        long own = followers.servers().sinceGapMilliseconds();
+        boolean knowsBetter = toldReadAt >= now() - own;
+        return knowsBetter ? Math.max(own, now() - toldGapEndedAt) : own;
     }
 
     private long now() {
--- a/library/src/main/java/org/siskinramp/relay/Followers.java
+++ b/library/src/main/java/org/siskinramp/relay/Followers.java
@@ -17,9 +17,4 @@
         ChangeFollower<ServerChange> servers,
         ChangeFollower<OperatorChange> operator,
         ChangeFollower<HostChange> hosts,
-        ChangeFollower<CrashChange> crashes) {
-
-    long sinceRegainedMilliseconds() {
-        return Math.min(servers.sinceRegainedMilliseconds(), operator.sinceRegainedMilliseconds());
-    }
-}
+        ChangeFollower<CrashChange> crashes) {}
--- a/library/src/main/java/org/siskinramp/relay/NewsWriter.java
+++ b/library/src/main/java/org/siskinramp/relay/NewsWriter.java
@@ -25,7 +25,8 @@
     }
 
     /** Writes messages for a host that was told both tables up to these versions. */
-    List<PeerMessage> since(long serversTold, long operatorTold, int hosts, int hops) {
+    List<PeerMessage> since(
+            long serversTold, long operatorTold, int hosts, long sinceGap, int hops) {
         List<PeerMessage> messages = new ArrayList<>();
         if (operatorTold < operator.version()) {
             operator.news(followers.operator().ageMilliseconds()).ifPresent(messages::add);
@@ -45,7 +46,7 @@
                             news.entries().subList(from, to),
                             news.gone(),
                             followers.servers().ageMilliseconds(),
-                            followers.sinceRegainedMilliseconds(),
+                            sinceGap,
                             operator.version(),
                             followers.operator().ageMilliseconds(),
                             hosts,
--- a/library/src/test/java/org/siskinramp/gateway/GatewayTest.java
+++ b/library/src/test/java/org/siskinramp/gateway/GatewayTest.java
@@ -7,12 +7,16 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
+import org.siskinramp.follow.Changes;
+import org.siskinramp.follow.GatewayFeed;
+import org.siskinramp.follow.ServerChange;
 import org.siskinramp.log.RequestMeasures;
 import org.siskinramp.request.Answer;
 import org.siskinramp.request.Request;
@@ -186,6 +190,17 @@
                 2, answers.stream().filter(CompletableFuture::isCompletedExceptionally).count());
     }
 
+    @Test
+    void aServerThatIsKeptIsDroppedOnceItsEntryCannotHaveLapsed() {
+        publish(servers.add("a", "zone-1", 4, 100), servers.add("b", "zone-1", 4, 100));
+        GatewayFeed feed = new GatewayFeed(gateway);
+        ServerChange gone = new ServerChange("a", Optional.empty());
+        feed.takeServers(new Changes<>(2, false, List.of(gone)), () -> 300);
+        assertEquals(2, gateway.usableServers());
+        feed.takeServers(new Changes<>(3, false, List.of()), () -> 60_000);
+        assertEquals(1, gateway.usableServers());
+    }
+
     @Test
     void answersByTheTimeLimitOfTheRoute() {
         publish(servers.add("a", "zone-1", 4, 50).behave(ModelServers.Behaviour.HANG));
