--- a/library/src/main/java/org/siskinramp/follow/ChangeFollower.java
+++ b/library/src/main/java/org/siskinramp/follow/ChangeFollower.java
@@ -53,16 +53,24 @@
     private volatile boolean synced;
     private volatile boolean stopped;
 
-    private ChangeFollower(Builder<T> builder) {
-        name = Objects.requireNonNull(builder.name, "name");
-        source = Objects.requireNonNull(builder.source, "source");
-        listener = Objects.requireNonNull(builder.listener, "listener");
-        intervalMilliseconds =
-                Objects.requireNonNull(builder.intervalMilliseconds, "intervalMilliseconds");
-        waitMilliseconds = Objects.requireNonNull(builder.waitMilliseconds, "waitMilliseconds");
-        clock = Objects.requireNonNull(builder.clock, "clock");
-        scheduler = Objects.requireNonNull(builder.scheduler, "scheduler");
-        eventLog = Objects.requireNonNull(builder.eventLog, "eventLog");
+    ChangeFollower(
+            String name,
+            ChangeSource<T> source,
+            Consumer<Changes<T>> listener,
+            LongSupplier intervalMilliseconds,
+            LongSupplier waitMilliseconds,
+            Clock clock,
+            Scheduler scheduler,
+            EventLog eventLog) {
+        this.name = Objects.requireNonNull(name, "name");
+        this.source = Objects.requireNonNull(source, "source");
+        this.listener = Objects.requireNonNull(listener, "listener");
+        this.intervalMilliseconds =
+                Objects.requireNonNull(intervalMilliseconds, "intervalMilliseconds");
+        this.waitMilliseconds = Objects.requireNonNull(waitMilliseconds, "waitMilliseconds");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
+        this.eventLog = Objects.requireNonNull(eventLog, "eventLog");
     }
 
     /**
@@ -74,13 +82,9 @@
      * @param <T> the type of an item
      * @return a builder, which needs clock, scheduler and event log
      */
-    public static <T> Builder<T> builder(
+    public static <T> ChangeFollowerBuilder<T> builder(
             String name, ChangeSource<T> source, Consumer<Changes<T>> listener) {
-        Builder<T> builder = new Builder<>();
-        builder.name = name;
-        builder.source = source;
-        builder.listener = listener;
-        return builder;
+        return new ChangeFollowerBuilder<>(name, source, listener);
     }
 
     /**
@@ -369,87 +373,4 @@
             return waited ? now : Math.min(now, askedAt + waitMilliseconds);
         }
     }
-
-    /**
-     * Collects the parts of a follower.
-     *
-     * @param <T> the type of an item
-     */
-    public static final class Builder<T> {
-
-        private String name;
-        private ChangeSource<T> source;
-        private Consumer<Changes<T>> listener;
-        private LongSupplier intervalMilliseconds = () -> 1_000;
-        private LongSupplier waitMilliseconds = () -> 0;
-        private Clock clock;
-        private Scheduler scheduler;
-        private EventLog eventLog;
-
-        private Builder() {}
-
-        /**
-         * Sets the least time between two calls.
-         *
-         * @param value gives milliseconds before each call
-         * @return this builder
-         */
-        public Builder<T> intervalMilliseconds(LongSupplier value) {
-            intervalMilliseconds = value;
-            return this;
-        }
-
-        /**
-         * Sets how long a call waits for the first change.
-         *
-         * @param value gives milliseconds before each call, 0 for an answer at once
-         * @return this builder
-         */
-        public Builder<T> waitMilliseconds(LongSupplier value) {
-            waitMilliseconds = value;
-            return this;
-        }
-
-        /**
-         * Sets the clock.
-         *
-         * @param value tells the time
-         * @return this builder
-         */
-        public Builder<T> clock(Clock value) {
-            clock = value;
-            return this;
-        }
-
-        /**
-         * Sets the scheduler.
-         *
-         * @param value runs delayed calls
-         * @return this builder
-         */
-        public Builder<T> scheduler(Scheduler value) {
-            scheduler = value;
-            return this;
-        }
-
-        /**
-         * Sets the event log.
-         *
-         * @param value is told when the store is lost and regained
-         * @return this builder
-         */
-        public Builder<T> eventLog(EventLog value) {
-            eventLog = value;
-            return this;
-        }
-
-        /**
-         * Builds the follower.
-         *
-         * @return the follower, which must be started
-         */
-        public ChangeFollower<T> build() {
-            return new ChangeFollower<>(this);
-        }
-    }
 }
--- a/library/src/main/java/org/siskinramp/relay/FeedRelay.java
+++ b/library/src/main/java/org/siskinramp/relay/FeedRelay.java
@@ -1,6 +1,5 @@
 package org.siskinramp.relay;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -57,9 +56,6 @@
     /** A store that is well answers a starting host far sooner. */
     private static final long SEED_PATIENCE_MILLISECONDS = 300;
 
-    /** The hosts are read again only if no reader tells how many there are. */
-    private static final long HOSTS_SPAN_MILLISECONDS = 30_000;
-
     private static final int UNCOUNTED = 0;
 
     private final Clock clock;
@@ -72,6 +68,7 @@
     private final OperatorBook operatorBook = new OperatorBook();
     private final Subscribers subscribers = new Subscribers();
     private final Map<String, NewsParts> parts = new HashMap<>();
+    private final ToldRead toldRead = new ToldRead();
     private final SeedAsks seeds;
     private int ticks;
     private volatile HostPublisher publisher;
@@ -80,9 +77,6 @@
     private volatile Followers followers;
     private volatile NewsWriter news;
     private volatile SourceFinder finder;
-    private volatile int toldHops;
-    private long toldGapEndedAt = Long.MIN_VALUE / 2;
-    private long toldReadAt = Long.MIN_VALUE / 2;
 
     /**
      * Creates a relay, which must be started.
@@ -148,9 +142,7 @@
     private void startWithAll() {
         boolean unused = publisher.publishOnce(false);
         long firstNews = now() + FIRST_LOOK_MILLISECONDS + FIRST_NEWS_MILLISECONDS;
-        followers.servers().coverUntil(firstNews);
-        followers.operator().coverUntil(firstNews);
-        followers.crashes().coverUntil(firstNews);
+        followers.coverUntil(firstNews);
         scheduler.schedule(FIRST_LOOK_MILLISECONDS, followers.hosts()::start);
     }
 
@@ -217,15 +209,12 @@
         hosts.forEach(this::tell);
     }
 
-    private int hops() {
-        return followers.servers().isTold() ? toldHops : 0;
-    }
-
     private void tell(String host) {
         List<PeerMessage> messages;
         synchronized (this) {
             long told = subscribers.toldVersion(host);
-            boolean tooFar = hops() >= HOPS_AT_MOST && told >= 0;
+            int hops = toldRead.hops(followers.servers());
+            boolean tooFar = hops >= HOPS_AT_MOST && told >= 0;
             if (tooFar || book.version() < 0 || operatorBook.version() == 0) {
                 return;
             }
@@ -235,7 +224,7 @@
                             subscribers.toldOperatorVersion(host),
                             countHosts(),
                             sinceGapMilliseconds(),
-                            hops());
+                            hops);
             subscribers.told(host, book.version(), operatorBook.version());
         }
         messages.forEach(message -> sender.send(host, message));
@@ -274,20 +263,19 @@
                 return;
             }
             entries = parts.computeIfAbsent(host, name -> new NewsParts()).add(news);
-        }
-        if (entries.isEmpty()) {
-            return;
+            if (entries.isEmpty()) {
+                return;
+            }
+            toldRead.follow(news, now());
         }
         long version = followers.servers().version();
         long age = followers.servers().ageMilliseconds();
-        noteGap(news);
-        toldHops = news.hops() + 1;
         followers.operator().confirm(news.operatorVersion(), news.operatorAgeMilliseconds());
         if (!followers
                 .servers()
                 .offer(
                         news.sinceVersion(),
-                        changesOf(news, entries.get()),
+                        ServerBook.changesOf(news, entries.get()),
                         news.ageMilliseconds())) {
             ask(host);
             return;
@@ -300,15 +288,6 @@
         }
     }
 
-    /** A host that read all the while shows that the store was not away. */
-    private synchronized void noteGap(FeedNews news) {
-        long readAt = now() - news.ageMilliseconds();
-        if (readAt >= toldReadAt) {
-            toldReadAt = readAt;
-            toldGapEndedAt = now() - news.sinceGapMilliseconds();
-        }
-    }
-
     private void told(String host, OperatorNews news) {
         synchronized (this) {
             if (!listensTo(host)) {
@@ -327,35 +306,11 @@
             finder.heard(host, news, now());
         }
         if (!reads) {
-            cover(news);
+            followers.cover(news, options, now());
         }
         follow(news.hosts());
     }
 
-    private static Changes<ServerChange> changesOf(FeedNews news, List<ServerEntry> entries) {
-        List<ServerChange> changes = new ArrayList<>(entries.size() + news.gone().size());
-        entries.forEach(
-                entry -> changes.add(new ServerChange(entry.server().name(), Optional.of(entry))));
-        news.gone().forEach(name -> changes.add(new ServerChange(name, Optional.empty())));
-        return new Changes<>(news.version(), news.whole(), changes);
-    }
-
-    /** Makes no calls while another host's reads stand in; a reader goes on trying for all. */
-    private void cover(FeedNews news) {
-        long serversUntil = now() - news.ageMilliseconds() + options.serverSpanMilliseconds();
-        long operatorUntil =
-                now() - news.operatorAgeMilliseconds() + options.operatorSpanMilliseconds();
-        followers.servers().coverUntil(serversUntil);
-        followers.crashes().coverUntil(serversUntil);
-        followers.operator().coverUntil(operatorUntil);
-        if (followers.hosts().isSynced()) {
-            followers.hosts().coverUntil(now() + HOSTS_SPAN_MILLISECONDS);
-        }
-        if (followers.operator().version() < news.operatorVersion()) {
-            followers.operator().readNow();
-        }
-    }
-
     private void tick() {
         try {
             boolean asks;
@@ -390,12 +345,8 @@
             asked = finder.hostsToAsk(now());
         }
         asked.forEach(this::ask);
-        if (reads && !followers.servers().isSynced()) {
-            followers.servers().endCover();
-            followers.operator().endCover();
-        }
-        if (reads && !followers.crashes().isSynced()) {
-            followers.crashes().endCover();
+        if (reads) {
+            followers.readMissing();
         }
     }
 
@@ -471,9 +422,7 @@
      * @return milliseconds, a long time if there was no such time
      */
     public synchronized long sinceGapMilliseconds() {
-        long own = followers.servers().sinceGapMilliseconds();
-        boolean knowsBetter = toldReadAt >= now() - own;
-        return knowsBetter ? Math.max(own, now() - toldGapEndedAt) : own;
+        return toldRead.sinceGapMilliseconds(followers.servers(), now());
     }
 
     private long now() {
--- a/library/src/main/java/org/siskinramp/relay/ServerBook.java
+++ b/library/src/main/java/org/siskinramp/relay/ServerBook.java
@@ -6,10 +6,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.siskinramp.fleet.ServerEntry;
 import org.siskinramp.follow.Changes;
 import org.siskinramp.follow.ServerChange;
+import org.siskinramp.peer.FeedNews;
 
 /**
  * Keeps the entries of backend servers with the version of their last change, to tell others what
@@ -93,6 +95,15 @@
         return new News(whole, entries, gone);
     }
 
+    /** Turns what another host tells into the changes that a read of the table would give. */
+    static Changes<ServerChange> changesOf(FeedNews news, List<ServerEntry> entries) {
+        List<ServerChange> changes = new ArrayList<>(entries.size() + news.gone().size());
+        entries.forEach(
+                entry -> changes.add(new ServerChange(entry.server().name(), Optional.of(entry))));
+        news.gone().forEach(name -> changes.add(new ServerChange(name, Optional.empty())));
+        return new Changes<>(news.version(), news.whole(), changes);
+    }
+
     /** Holds entries to tell; if they are whole, servers that are not among them are gone. */
     record News(boolean whole, List<ServerEntry> entries, List<String> gone) {}
 
