Tell all routes to a host that cannot read them

With more than 40 routes a change of the operator was only announced, so that a host that the store turns away kept its old routes and evacuations until the store served it again, and one that started then answered 503 to all.

Cause: whoever lacks many routes was taken to be able to read them. Change: a host whose own read of the operator's table fails asks the host that told it of the change, once a second, and gets all routes in messages of 200. Hosts that can read are told nothing more than before.

--- a/daemon/src/main/java/org/siskinramp/daemon/peer/MessageTypes.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/peer/MessageTypes.java
@@ -19,6 +19,7 @@
 import org.siskinramp.peer.OperatorNews;
 import org.siskinramp.peer.PeerMessage;
 import org.siskinramp.peer.QuarantineNews;
+import org.siskinramp.peer.RoutesAsk;
 import org.siskinramp.peer.SlotRelease;
 import org.siskinramp.peer.SuspectRequest;
 
@@ -44,6 +45,7 @@
                     Map.entry(OperatorNews.class, 15),
                     Map.entry(CrashReport.class, 16),
                     Map.entry(QuarantineNews.class, 17),
+                    Map.entry(RoutesAsk.class, 18),
                     Map.entry(Hello.class, 100),
                     Map.entry(Receipt.class, 101));
 
--- a/daemon/src/test/java/org/siskinramp/daemon/peer/PeerCodecTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/peer/PeerCodecTest.java
@@ -30,6 +30,7 @@
 import org.siskinramp.peer.OperatorNews;
 import org.siskinramp.peer.PeerMessage;
 import org.siskinramp.peer.RouteLine;
+import org.siskinramp.peer.RoutesAsk;
 import org.siskinramp.peer.ServerAllowance;
 import org.siskinramp.peer.ServiceSpare;
 import org.siskinramp.peer.SlotRelease;
@@ -107,7 +108,10 @@
                                         List.of(new ServiceShare("desk", 2)))),
                         List.of(new RoutedService("desk", "/health", 260, 1.5)),
                         new CallerLimits(1, 2, 3, 4),
-                        List.of("zone-1")));
+                        List.of("zone-1"),
+                        1,
+                        true));
+        assertSame(new RoutesAsk(7));
     }
 
     @Test
--- a/library/src/main/java/org/siskinramp/relay/FeedRelay.java
+++ b/library/src/main/java/org/siskinramp/relay/FeedRelay.java
@@ -1,8 +1,6 @@
 package org.siskinramp.relay;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.IntConsumer;
@@ -17,6 +15,8 @@
 import org.siskinramp.peer.OperatorNews;
 import org.siskinramp.peer.PeerMessage;
 import org.siskinramp.peer.PeerSender;
+import org.siskinramp.peer.RouteLine;
+import org.siskinramp.peer.RoutesAsk;
 import org.siskinramp.peer.SeedName;
 import org.siskinramp.time.Clock;
 import org.siskinramp.time.Scheduler;
@@ -39,11 +39,6 @@
     /** A host repeats once a second that it wants to be told. */
     private static final int TICKS_BETWEEN_ASKS = 4;
 
-    /**
-     * News that came over as many hosts is not handed on, so that it cannot go round in circles.
-     */
-    private static final int HOPS_AT_MOST = 3;
-
     /** What makes a read this much newer is told on; less is the time of a message. */
     private static final long RENEWAL_MILLISECONDS = 100;
 
@@ -67,7 +62,8 @@
     private final ServerBook book = new ServerBook();
     private final OperatorBook operatorBook = new OperatorBook();
     private final Subscribers subscribers = new Subscribers();
-    private final Map<String, NewsParts> parts = new HashMap<>();
+    private final ReceivedParts parts = new ReceivedParts();
+    private final RouteAsks routeAsks = new RouteAsks();
     private final ToldRead toldRead = new ToldRead();
     private final SeedAsks seeds;
     private int ticks;
@@ -115,7 +111,7 @@
         self = Objects.requireNonNull(entry, "entry");
         sender = Objects.requireNonNull(peers, "peers");
         followers = Objects.requireNonNull(followed, "followed");
-        news = new NewsWriter(book, operatorBook, followed, clock);
+        news = new NewsWriter(book, operatorBook, subscribers, followed, clock);
         finder =
                 new SourceFinder(
                         entry,
@@ -212,20 +208,12 @@
     private void tell(String host) {
         List<PeerMessage> messages;
         synchronized (this) {
-            long told = subscribers.toldVersion(host);
-            int hops = toldRead.hops(followers.servers());
-            boolean tooFar = hops >= HOPS_AT_MOST && told >= 0;
-            if (tooFar || book.version() < 0 || operatorBook.version() == 0) {
-                return;
-            }
             messages =
-                    news.since(
-                            told,
-                            subscribers.toldOperatorVersion(host),
+                    news.messagesFor(
+                            host,
                             countHosts(),
                             sinceGapMilliseconds(),
-                            hops);
-            subscribers.told(host, book.version(), operatorBook.version());
+                            toldRead.hops(followers.servers()));
         }
         messages.forEach(message -> sender.send(host, message));
     }
@@ -243,6 +231,8 @@
             told(host, news);
         } else if (message instanceof OperatorNews news) {
             told(host, news);
+        } else if (message instanceof RoutesAsk ask) {
+            asked(host, ask);
         }
     }
 
@@ -262,11 +252,12 @@
             if (!listensTo(host)) {
                 return;
             }
-            entries = parts.computeIfAbsent(host, name -> new NewsParts()).add(news);
+            entries = parts.add(host, news);
             if (entries.isEmpty()) {
                 return;
             }
             toldRead.follow(news, now());
+            routeAsks.heard(host, news.operatorVersion());
         }
         long version = followers.servers().version();
         long age = followers.servers().ageMilliseconds();
@@ -288,15 +279,33 @@
         }
     }
 
+    private void asked(String host, RoutesAsk ask) {
+        List<OperatorNews> messages;
+        synchronized (this) {
+            messages =
+                    operatorBook.version() > ask.version()
+                            ? operatorBook.whole(followers.operator().ageMilliseconds())
+                            : List.of();
+        }
+        messages.forEach(message -> sender.send(host, message));
+    }
+
     private void told(String host, OperatorNews news) {
+        Optional<List<RouteLine>> routes;
         synchronized (this) {
             if (!listensTo(host)) {
                 return;
             }
+            routes = parts.add(host, news);
         }
-        followers
-                .operator()
-                .offer(news.version(), OperatorBook.changesOf(news), news.ageMilliseconds());
+        routes.ifPresent(
+                lines ->
+                        followers
+                                .operator()
+                                .offer(
+                                        news.version(),
+                                        OperatorBook.changesOf(news, lines),
+                                        news.ageMilliseconds()));
     }
 
     private void heard(String host, FeedNews news) {
@@ -322,12 +331,13 @@
                 finder.logFreshness();
                 if (asks) {
                     subscribers.dropSilent(now());
-                    parts.keySet().removeIf(host -> !listensTo(host));
+                    parts.keepOnly(this::listensTo);
                 }
             }
             if (asks || late) {
                 askSources();
             }
+            askRoutes();
             if (asks) {
                 askSeed();
             }
@@ -350,6 +360,19 @@
         }
     }
 
+    /** A host that cannot read the routes is told them, however many there are. */
+    private void askRoutes() {
+        if (!followers.operator().isFailing()) {
+            return;
+        }
+        long known = followers.operator().version();
+        Optional<String> teller;
+        synchronized (this) {
+            teller = routeAsks.next(known, now());
+        }
+        teller.ifPresent(host -> sender.send(host, new RoutesAsk(known)));
+    }
+
     /** A host that cannot read who the others are has only the seeds to ask. */
     private void askSeed() {
         if (followers.hosts().isSynced()) {
--- a/library/src/main/java/org/siskinramp/relay/NewsParts.java
+++ b/library/src/main/java/org/siskinramp/relay/NewsParts.java
@@ -3,41 +3,41 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.siskinramp.fleet.ServerEntry;
-import org.siskinramp.peer.FeedNews;
 
 /**
  * Puts the parts of a long list together. A list of which a part went missing is dropped, since
- * servers that are not in a whole list are taken as gone. It is guarded by the lock of its owner.
+ * what is not in a whole list is taken as gone. It is guarded by the lock of its owner.
+ *
+ * @param <T> the type of an item
  */
-final class NewsParts {
+final class NewsParts<T> {
 
-    private final List<ServerEntry> entries = new ArrayList<>();
+    private final List<T> items = new ArrayList<>();
     private long version;
     private int next;
 
-    /** Adds a message; returns all entries once the list is complete. */
-    Optional<List<ServerEntry>> add(FeedNews news) {
-        if (news.part() == 0) {
+    /** Adds a part of the list of a version; returns all items once the list is complete. */
+    Optional<List<T>> add(long listVersion, int part, boolean more, List<T> added) {
+        if (part == 0) {
             clear();
-            version = news.version();
+            version = listVersion;
         }
-        if (news.part() != next || news.version() != version) {
+        if (part != next || listVersion != version) {
             clear();
             return Optional.empty();
         }
-        entries.addAll(news.servers());
+        items.addAll(added);
         next++;
-        if (news.more()) {
+        if (more) {
             return Optional.empty();
         }
-        List<ServerEntry> complete = List.copyOf(entries);
+        List<T> complete = List.copyOf(items);
         clear();
         return Optional.of(complete);
     }
 
-    void clear() {
-        entries.clear();
+    private void clear() {
+        items.clear();
         next = 0;
     }
 }
--- a/library/src/main/java/org/siskinramp/relay/OperatorBook.java
+++ b/library/src/main/java/org/siskinramp/relay/OperatorBook.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import org.siskinramp.follow.Changes;
 import org.siskinramp.follow.EvacuatedZones;
 import org.siskinramp.follow.OperatorChange;
@@ -11,15 +10,18 @@
 import org.siskinramp.route.RouteTable;
 
 /**
- * Keeps all that operators set, to tell it to others. Many routes are not told: whoever lacks them
- * reads the store, which costs less than their bytes between availability zones. It is guarded by
- * the lock of its owner.
+ * Keeps all that operators set, to tell it to others. Many routes are told only to hosts that ask
+ * for them: whoever can read the store does, which costs less than their bytes between availability
+ * zones. It is guarded by the lock of its owner.
  */
 final class OperatorBook {
 
     /** About 6 kB; between availability zones that costs as much as a call to the store. */
     static final int ROUTES_TOLD_AT_MOST = 40;
 
+    /** About 30 kB in a frame. */
+    private static final int ROUTES_OF_A_MESSAGE = 200;
+
     private final EvacuatedZones evacuatedZones = new EvacuatedZones();
     private RouteTable routes = RouteTable.EMPTY;
     private long version;
@@ -42,31 +44,43 @@
         }
     }
 
-    /** Returns what is told, or empty if there are too many routes. */
-    Optional<OperatorNews> news(long ageMilliseconds) {
-        if (routes.routeCount() > ROUTES_TOLD_AT_MOST) {
-            return Optional.empty();
-        }
-        return Optional.of(
-                new OperatorNews(
-                        version,
-                        ageMilliseconds,
-                        routes.version(),
-                        routes.routes().stream().map(RouteLine::of).toList(),
-                        List.copyOf(routes.services()),
-                        routes.limits(),
-                        List.copyOf(evacuatedZones.names())));
+    /** Writes down what is told unasked: nothing if there are too many routes. */
+    List<OperatorNews> news(long ageMilliseconds) {
+        return routes.routeCount() > ROUTES_TOLD_AT_MOST ? List.of() : whole(ageMilliseconds);
+    }
+
+    /** Writes down all routes, in as many messages as they need. */
+    List<OperatorNews> whole(long ageMilliseconds) {
+        List<RouteLine> lines = routes.routes().stream().map(RouteLine::of).toList();
+        List<OperatorNews> messages = new ArrayList<>();
+        int from = 0;
+        do {
+            int to = Math.min(lines.size(), from + ROUTES_OF_A_MESSAGE);
+            messages.add(
+                    new OperatorNews(
+                            version,
+                            ageMilliseconds,
+                            routes.version(),
+                            lines.subList(from, to),
+                            List.copyOf(routes.services()),
+                            routes.limits(),
+                            List.copyOf(evacuatedZones.names()),
+                            messages.size(),
+                            to < lines.size()));
+            from = to;
+        } while (from < lines.size());
+        return messages;
     }
 
     /** Turns what another host tells into the changes that a read of the whole table would give. */
-    static Changes<OperatorChange> changesOf(OperatorNews news) {
+    static Changes<OperatorChange> changesOf(OperatorNews news, List<RouteLine> lines) {
         List<OperatorChange> changes = new ArrayList<>();
         if (news.routesVersion() > 0) {
             changes.add(
                     new OperatorChange.Routes(
                             new RouteTable(
                                     news.routesVersion(),
-                                    news.routes().stream().map(RouteLine::toRoute).toList(),
+                                    lines.stream().map(RouteLine::toRoute).toList(),
                                     news.services(),
                                     news.limits())));
         }
--- a/library/src/test/java/org/siskinramp/relay/NewsPartsTest.java
+++ b/library/src/test/java/org/siskinramp/relay/NewsPartsTest.java
@@ -10,7 +10,7 @@
 
 class NewsPartsTest {
 
-    private final NewsParts parts = new NewsParts();
+    private final NewsParts<ServerEntry> parts = new NewsParts<>();
 
     private static FeedNews part(long version, int part, boolean more, String server) {
         List<ServerEntry> servers = List.of(ServerBookTest.entry(server, false, 0, 1));
@@ -18,7 +18,7 @@
     }
 
     private Optional<List<String>> add(FeedNews news) {
-        return parts.add(news)
+        return parts.add(news.version(), news.part(), news.more(), news.servers())
                 .map(all -> all.stream().map(entry -> entry.server().name()).toList());
     }
 
--- a/library/src/test/java/org/siskinramp/relay/RelayWorld.java
+++ b/library/src/test/java/org/siskinramp/relay/RelayWorld.java
@@ -237,6 +237,7 @@
         int counted;
         int leastCounted = Integer.MAX_VALUE;
         long routesVersion;
+        int routeCount;
         final Set<String> draining = new HashSet<>();
         final Map<String, Long> goneAt = new TreeMap<>();
         final Set<String> settings = new HashSet<>();
@@ -264,6 +265,7 @@
             draining.clear();
             goneAt.clear();
             routesVersion = 0;
+            routeCount = 0;
             long downMilliseconds = 100;
             time.schedule(
                     downMilliseconds,
@@ -390,6 +392,7 @@
                     settings.add(evacuation.availabilityZone());
                 } else if (change instanceof OperatorChange.Routes newer) {
                     routesVersion = newer.routes().version();
+                    routeCount = newer.routes().routeCount();
                 }
             }
             relay.operatorRead(changes);
