--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/LeavingServerProcessTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/HostsRefusedByStoreProcessTest.java
@@ -17,8 +17,8 @@
 import org.siskinramp.standin.upstream.GatewayWorld;
 import org.siskinramp.standin.upstream.UpstreamStandIn;
 
-/** Runs gateways as processes, of which the store refuses some while servers leave. */
-class LeavingServerProcessTest {
+/** Runs gateways as processes, of which the store refuses some. */
+class HostsRefusedByStoreProcessTest {
 
     private static final int HOSTS = 6;
     private static final int READERS = 2;
@@ -32,6 +32,11 @@
     /** The time after which a leaving server gets nothing more, and a part for a busy machine. */
     private static final long DRAIN_MILLISECONDS = 2_000 + 1_000;
 
+    /** The time in which a configuration must be in force, and a part for a busy machine. */
+    private static final long CONFIGURATION_MILLISECONDS = 2_000 + 1_000;
+
+    private static final int MANY = 450;
+
     @TempDir private Path directory;
 
     private final StoreStandIn store = StoreStandIn.start("127.0.0.1:0");
@@ -112,16 +117,61 @@
         return servers.get(server).runs().size();
     }
 
-    @Test
-    void hostsThatTheStoreRefusesSendNothingToServersThatLeft() throws Exception {
+    private int aReader() {
         List<Integer> told = told();
         int reader = 0;
         while (told.contains(reader)) {
             reader++;
         }
+        return reader;
+    }
+
+    /** Writes a configuration with more routes than hosts tell each other unasked. */
+    private void configureManyRoutes(int version, String prefix) {
+        StringBuilder routes = new StringBuilder();
+        for (int number = 0; number < MANY; number++) {
+            String path = number == 0 ? prefix : "/many-" + number + "/";
+            routes.append(
+                    """
+                    {"name":"many-%d","prefix":"%s","kind":"safe","timeout_ms":1200,
+                     "goal_latency_ms":600,"priority":2,"service":"desk","max_attempts":2},
+                    """
+                            .formatted(number, path));
+        }
+        store.put(
+                "op",
+                "config",
+                GatewayWorld.configuration(version).replace("\"paths\":[", "\"paths\":[" + routes));
+    }
+
+    @Test
+    void hostsThatTheStoreRefusesServeANewRouteOfMany() throws Exception {
+        configureManyRoutes(2, "/first/");
+        sendFor(CONFIGURATION_MILLISECONDS);
+        int reader = aReader();
+        int told = told().get(0);
+        refuseAtStore(reader);
+        refuseAtStore(told);
+        sendFor(500);
+        configureManyRoutes(3, "/second/");
+        sendFor(CONFIGURATION_MILLISECONDS);
+        for (int host : List.of(reader, told)) {
+            int status =
+                    callers.get(host)
+                            .send("GET", "/second/x", "", "X-Siskinramp-Request-Id", "new-" + host)
+                            .join()
+                            .statusCode();
+            assertEquals(200, status, "host " + host);
+        }
+    }
+
+    @Test
+    void hostsThatTheStoreRefusesSendNothingToServersThatLeft() throws Exception {
         sendFor(1_000);
+        int reader = aReader();
+        int told = told().get(0);
         refuseAtStore(reader);
-        refuseAtStore(told.get(0));
+        refuseAtStore(told);
         sendFor(500);
         int[] before = new int[LEAVING];
         for (int server = 0; server < LEAVING; server++) {
