Let a test ask a gateway for its port; end a gateway that cannot listen with status 1

Suspected: the port that the test had chosen was taken in between. A gateway whose port is taken ends just so; tried by hand, it printed a stack trace and ended with status 0, since the steps of a planned stop ended the process. Now it writes one line, event=failed with result code 501 and the address, and ends with status 1; its start logs the ports of its pages, by which the test finds them; a process that ends early is printed.

GatewayProcessTest.aPortThatIsTakenIsToldInOneLineAndAFailedExit is new; before, no such line came.

--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerServer.java
@@ -1,8 +1,10 @@
 package org.siskinramp.daemon.caller;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.ManagedSelector;
@@ -125,8 +127,9 @@
      * @param address where to listen
      * @param path the path of the page
      * @param content makes the page
+     * @return tells the port once the server has started
      */
-    public void addPage(InetSocketAddress address, String path, Supplier<SidePage> content) {
+    public IntSupplier addPage(InetSocketAddress address, String path, Supplier<SidePage> content) {
         ServerConnector side =
                 new ServerConnector(server, 0, 1, new HttpConnectionFactory(newConfiguration()));
         side.setHost(address.getAddress().getHostAddress());
@@ -134,12 +137,19 @@
         side.setIdleTimeout(options.idleTimeoutMilliseconds());
         server.addConnector(side);
         pages.add(side, path, content);
+        return side::getLocalPort;
     }
 
-    /** Starts to listen. */
+    /**
+     * Starts to listen.
+     *
+     * @throws ResultException with {@code SETTINGS_INVALID} if an address cannot be bound
+     */
     public void start() {
         try {
             server.start();
+        } catch (IOException failure) {
+            throw new ResultException(ResultCode.SETTINGS_INVALID, "cannot listen", failure);
         } catch (Exception failure) {
             throw new ResultException(ResultCode.INVARIANT_VIOLATED, "caller server", failure);
         }
--- a/daemon/src/main/java/org/siskinramp/daemon/gateway/GatewayDaemon.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/gateway/GatewayDaemon.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Objects;
+import java.util.function.IntSupplier;
 import org.siskinramp.daemon.backend.JettyBackendServerLink;
 import org.siskinramp.daemon.caller.CallerServer;
 import org.siskinramp.daemon.caller.SidePage;
@@ -74,8 +75,10 @@
      * @param metricsPath the path of the metrics
      */
     public void start(String readinessPath, String metricsPath) {
-        callers.addPage(settings.pages().readiness(), readinessPath, this::readiness);
-        callers.addPage(settings.pages().metrics(), metricsPath, this::exposition);
+        IntSupplier readinessPort =
+                callers.addPage(settings.pages().readiness(), readinessPath, this::readiness);
+        IntSupplier metricsPort =
+                callers.addPage(settings.pages().metrics(), metricsPath, this::exposition);
         registerGauges();
         callers.start();
         backendServers.start();
@@ -86,6 +89,8 @@
                 LogEvent.named("started")
                         .with("caller_address", settings.callers().address())
                         .with("caller_port", callers.port())
+                        .with("readiness_port", readinessPort.getAsInt())
+                        .with("metrics_port", metricsPort.getAsInt())
                         .with("store", settings.store().address())
                         .with("routing", settings.routing())
                         .with("operator_figures", settings.operatorFigures()));
--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/GatewayProcessTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/GatewayProcessTest.java
@@ -6,7 +6,6 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
@@ -81,26 +80,14 @@
     }
 
     private void launch() throws IOException {
-        int readinessPort = freePort();
         Path settings = directory.resolve("gateway.toml");
-        Files.writeString(
-                settings,
-                GatewayWorld.settings(store.address())
-                        .replace(
-                                "readiness_address = \"127.0.0.1:0\"",
-                                "readiness_address = \"127.0.0.1:" + readinessPort + "\""));
+        Files.writeString(settings, GatewayWorld.settings(store.address()));
         gateway =
                 ProgramProcess.start(
                         directory.resolve("gateway.log"), Main.class, List.of(settings.toString()));
         port = Integer.parseInt(gateway.await("started", "caller_port"));
         callers = new TestClient("localhost:" + port);
-        readiness = new TestClient("127.0.0.1:" + readinessPort);
-    }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
+        readiness = new TestClient("127.0.0.1:" + gateway.await("started", "readiness_port"));
     }
 
     private String nextId() {
@@ -119,6 +106,25 @@
         return callers.post("/write/x", "body", "X-Siskinramp-Request-Id", id);
     }
 
+    @Test
+    void aPortThatIsTakenIsToldInOneLineAndAFailedExit() throws Exception {
+        Path settings = directory.resolve("gateway.toml");
+        String taken = first.address();
+        Files.writeString(
+                settings,
+                GatewayWorld.settings(store.address())
+                        .replace(
+                                "readiness_address = \"127.0.0.1:0\"",
+                                "readiness_address = \"" + taken + "\""));
+        gateway =
+                ProgramProcess.start(
+                        directory.resolve("gateway.log"), Main.class, List.of(settings.toString()));
+        String resultCode = gateway.await("failed", "result_code");
+        TestClient.await(() -> !gateway.isAlive());
+        assertEquals("501", resultCode);
+        assertEquals(1, gateway.exitStatus());
+    }
+
     @Test
     void relaysTheWholeAnswerOfABackendServer() throws Exception {
         start();
--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/ProgramProcess.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/ProgramProcess.java
@@ -71,7 +71,7 @@
                 () -> event + " in " + output,
                 () -> lastMatch(pattern).isPresent() || !process.isAlive());
         return lastMatch(pattern)
-                .orElseThrow(() -> new AssertionError("the process ended: " + output));
+                .orElseThrow(() -> new AssertionError("the process ended: " + text()));
     }
 
     private Optional<String> lastMatch(Pattern pattern) {
@@ -124,6 +124,11 @@
         return process.isAlive();
     }
 
+    /** Returns the exit status of the process, which has ended. */
+    int exitStatus() {
+        return process.exitValue();
+    }
+
     /** Asks the process to stop and returns its exit status. */
     int terminate() {
         process.destroy();
