Do not take a call that waits for the operator for a late one

While this host's own call waits, a change comes at once; its age counts only for a host that is told, or whose calls fail. A gauge of a table that was never read is not a number.

--- a/daemon/src/main/java/org/siskinramp/daemon/gateway/GatewayDaemon.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/gateway/GatewayDaemon.java
@@ -125,7 +125,10 @@
         metrics.register(
                 "siskinramp_" + follower.name() + "_read_age_seconds",
                 "Seconds since the table was read, by this host or by its source.",
-                () -> follower.ageMilliseconds() / MILLISECONDS_PER_SECOND);
+                () ->
+                        follower.isSynced()
+                                ? follower.ageMilliseconds() / MILLISECONDS_PER_SECOND
+                                : Double.NaN);
     }
 
     private void tick() {
--- a/library/src/main/java/org/siskinramp/follow/ChangeFollower.java
+++ b/library/src/main/java/org/siskinramp/follow/ChangeFollower.java
@@ -295,7 +295,7 @@
     }
 
     /** A read that misses what is known here would bring back what has gone. */
-    private ResultException behind(Changes<T> changes, Call made) {
+    private static ResultException behind(Changes<?> changes, Call made) {
         return new ResultException(
                 ResultCode.PLATFORM_UNAVAILABLE,
                 "read is behind: version=" + changes.version() + " known=" + made.newestVersion);
--- a/library/src/main/java/org/siskinramp/relay/Freshness.java
+++ b/library/src/main/java/org/siskinramp/relay/Freshness.java
@@ -10,6 +10,9 @@
  */
 final class Freshness {
 
+    /** The age of a table that is not known yet, or whose changes come at once. */
+    private static final long UNKNOWN = 0;
+
     private final RelayOptions options;
     private final ChangeFollower<?> servers;
     private final ChangeFollower<?> operator;
@@ -26,18 +29,24 @@
 
     /** Tells whether a read that this host relies on is overdue. */
     boolean isLate() {
-        return isOlder(servers, options.serverLateMilliseconds())
-                || isOlder(operator, options.operatorLateMilliseconds());
+        return serversAge() > options.serverLateMilliseconds()
+                || operatorAge() > options.operatorLateMilliseconds();
     }
 
     /** Tells whether the reads of a host that nobody asks are overdue, which are further apart. */
     boolean isLateAlone() {
-        return isOlder(servers, options.serverLateAloneMilliseconds())
-                || isOlder(operator, options.operatorLateAloneMilliseconds());
+        return serversAge() > options.serverLateAloneMilliseconds()
+                || operatorAge() > options.operatorLateMilliseconds();
+    }
+
+    private long serversAge() {
+        return servers.isSynced() ? servers.ageMilliseconds() : UNKNOWN;
     }
 
-    private static boolean isOlder(ChangeFollower<?> follower, long milliseconds) {
-        return follower.isSynced() && follower.ageMilliseconds() > milliseconds;
+    /** A call of this host that waits brings a change at once, however old the last one is. */
+    private long operatorAge() {
+        boolean waits = !operator.isTold() && !operator.isFailing();
+        return operator.isSynced() && !waits ? operator.ageMilliseconds() : UNKNOWN;
     }
 
     /** Tells whether this host cannot read for itself now. */
@@ -54,11 +63,7 @@
 
     /** Logs what has become stale or fresh. */
     void log(String source) {
-        if (servers.isSynced()) {
-            serverLog.follow(servers.ageMilliseconds(), source);
-        }
-        if (operator.isSynced()) {
-            operatorLog.follow(operator.ageMilliseconds(), source);
-        }
+        serverLog.follow(serversAge(), source);
+        operatorLog.follow(operatorAge(), source);
     }
 }
--- a/library/src/main/java/org/siskinramp/relay/RelayOptions.java
+++ b/library/src/main/java/org/siskinramp/relay/RelayOptions.java
@@ -51,10 +51,6 @@
         return Math.round(LATE_PART_ALONE * serverSpanMilliseconds);
     }
 
-    long operatorLateAloneMilliseconds() {
-        return Math.round(LATE_PART_ALONE * operatorSpanMilliseconds);
-    }
-
     /**
      * Returns how often a host that tells others reads the backend servers.
      *
--- a/library/src/test/java/org/siskinramp/relay/FeedRelayTest.java
+++ b/library/src/test/java/org/siskinramp/relay/FeedRelayTest.java
@@ -55,6 +55,16 @@
         assertTrue(calls <= 2 * 20 * 2.3, "calls " + calls);
     }
 
+    /** A call that waits for a change keeps the table known until it ends. */
+    @Test
+    void readersThatNobodyAsksDoNotTakeAWaitingCallForALateOne() {
+        RelayWorld world = settled(2);
+        world.time.advance(8_000);
+        int messages = world.messages;
+        world.time.advance(20_000);
+        assertEquals(0, world.messages - messages);
+    }
+
     @Test
     void withoutOthersAHostReadsAtItsOwnPace() {
         RelayWorld world = settled(1);
