--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/HostsRefusedByStoreProcessTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/HostsRefusedByStoreProcessTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -10,7 +11,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 import org.siskinramp.standin.TestClient;
 import org.siskinramp.standin.proxy.FaultProxy;
 import org.siskinramp.standin.store.StoreStandIn;
@@ -37,7 +37,9 @@
 
     private static final int MANY = 450;
 
-    @TempDir private Path directory;
+    /** Outlives the test, so that a failure can be traced. */
+    private final Path directory =
+            Path.of("target", "refused", Long.toString(System.nanoTime())).toAbsolutePath();
 
     private final StoreStandIn store = StoreStandIn.start("127.0.0.1:0");
     private final List<FaultProxy> storeLinks = new ArrayList<>();
@@ -49,6 +51,7 @@
 
     @BeforeEach
     void start() throws Exception {
+        Files.createDirectories(directory);
         store.put("op", "config", GatewayWorld.configuration(1));
         for (int number = 0; number < SERVERS; number++) {
             servers.add(
