Cut lists into message parts by one piece of code

NewsWriter and OperatorBook each had the same loop, beside NewsParts, which joins the parts again: NewsParts.split serves both. Behaviour stays.

--- a/library/src/main/java/org/siskinramp/relay/NewsParts.java
+++ b/library/src/main/java/org/siskinramp/relay/NewsParts.java
@@ -36,6 +36,18 @@
         return Optional.of(complete);
     }
 
+    /** Cuts a list into parts of a size, an empty list into one that is empty. */
+    static <T> List<List<T>> split(List<T> items, int size) {
+        List<List<T>> parts = new ArrayList<>();
+        int from = 0;
+        do {
+            int to = Math.min(items.size(), from + size);
+            parts.add(items.subList(from, to));
+            from = to;
+        } while (from < items.size());
+        return parts;
+    }
+
     private void clear() {
         items.clear();
         next = 0;
--- a/library/src/main/java/org/siskinramp/relay/NewsWriter.java
+++ b/library/src/main/java/org/siskinramp/relay/NewsWriter.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.siskinramp.fleet.ServerEntry;
 import org.siskinramp.peer.FeedNews;
 import org.siskinramp.peer.PeerMessage;
 import org.siskinramp.time.Clock;
@@ -63,18 +64,16 @@
             messages.addAll(operator.news(followers.operator().ageMilliseconds()));
         }
         ServerBook.News news = servers.since(serversTold, clock.monotonicMilliseconds());
-        int part = 0;
-        int from = 0;
-        do {
-            int to = Math.min(news.entries().size(), from + SERVERS_OF_A_MESSAGE);
+        List<List<ServerEntry>> parts = NewsParts.split(news.entries(), SERVERS_OF_A_MESSAGE);
+        for (int part = 0; part < parts.size(); part++) {
             messages.add(
                     new FeedNews(
                             serversTold,
                             servers.version(),
                             news.whole(),
-                            part++,
-                            to < news.entries().size(),
-                            news.entries().subList(from, to),
+                            part,
+                            part + 1 < parts.size(),
+                            parts.get(part),
                             news.gone(),
                             followers.servers().ageMilliseconds(),
                             sinceGap,
@@ -82,8 +81,7 @@
                             followers.operator().ageMilliseconds(),
                             hosts,
                             hops));
-            from = to;
-        } while (from < news.entries().size());
+        }
         return messages;
     }
 }
--- a/library/src/main/java/org/siskinramp/relay/OperatorBook.java
+++ b/library/src/main/java/org/siskinramp/relay/OperatorBook.java
@@ -52,23 +52,21 @@
     /** Writes down all routes, in as many messages as they need. */
     List<OperatorNews> whole(long ageMilliseconds) {
         List<RouteLine> lines = routes.routes().stream().map(RouteLine::of).toList();
+        List<List<RouteLine>> parts = NewsParts.split(lines, ROUTES_OF_A_MESSAGE);
         List<OperatorNews> messages = new ArrayList<>();
-        int from = 0;
-        do {
-            int to = Math.min(lines.size(), from + ROUTES_OF_A_MESSAGE);
+        for (int part = 0; part < parts.size(); part++) {
             messages.add(
                     new OperatorNews(
                             version,
                             ageMilliseconds,
                             routes.version(),
-                            lines.subList(from, to),
+                            parts.get(part),
                             List.copyOf(routes.services()),
                             routes.limits(),
                             List.copyOf(evacuatedZones.names()),
-                            messages.size(),
-                            to < lines.size()));
-            from = to;
-        } while (from < lines.size());
+                            part,
+                            part + 1 < parts.size()));
+        }
         return messages;
     }
 
