--- a/review/harness/Harness.java
+++ b/review/harness/Harness.java
@@ -171,10 +171,6 @@
             return process.isAlive();
         }
 
-        long pid() {
-            return process.pid();
-        }
-
         void kill() {
             process.destroyForcibly();
             try {
@@ -184,15 +180,6 @@
             }
         }
 
-        void signal(String signal) throws IOException {
-            Harness.this.log("signal " + signal + " to " + name);
-            try {
-                new ProcessBuilder("kill", "-" + signal, Long.toString(pid())).start().waitFor();
-            } catch (InterruptedException stopped) {
-                throw new IOException(stopped);
-            }
-        }
-
         boolean isReady() {
             try (Socket socket = new Socket()) {
                 socket.connect(new InetSocketAddress(ip, 8167), 1000);
@@ -233,7 +220,6 @@
         String target = "";
         final Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
         byte[] body = new byte[0];
-        boolean complete;
 
         String header(String name) {
             return headers.getOrDefault(name, "");
@@ -300,7 +286,6 @@
         } else if (toEnd) {
             message.body = in.readAllBytes();
         }
-        message.complete = true;
     }
 
     private static byte[] exactly(InputStream in, int size) throws IOException {
@@ -328,14 +313,9 @@
 
     // ---- clients ----
 
-    record Result(String id, int status, byte[] body, Map<String, String> headers, String failure,
-            long tookMilliseconds) {
-        boolean served(Message ignored) {
-            return status >= 200 && status < 300;
-        }
-    }
+    record Result(int status, String failure, long tookMilliseconds) {}
 
-    /** A client that keeps one connection open for many requests. */
+    /** A client with one connection, which it keeps open for many requests. */
     final class Client implements AutoCloseable {
         final Gateway gateway;
         Socket socket;
@@ -375,12 +355,10 @@
                 if (answer.header("Connection").equalsIgnoreCase("close")) {
                     close();
                 }
-                return new Result(id, answer.status, answer.body, answer.headers, "",
-                        now() - started);
+                return new Result(answer.status, "", now() - started);
             } catch (IOException failure) {
                 close();
-                return new Result(id, 0, new byte[0], Map.of(), failure.toString(),
-                        now() - started);
+                return new Result(0, failure.toString(), now() - started);
             }
         }
 
@@ -416,11 +394,7 @@
         final AtomicLong sequence = new AtomicLong();
         final AtomicInteger running = new AtomicInteger();
         final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
-        final Map<String, Long> ranAt = new ConcurrentHashMap<>();
-        volatile String state = "ready";
         volatile long workMilliseconds = 40;
-        volatile boolean beats = true;
-        volatile Map<String, String> extraHeaders = Map.of();
         volatile Behaviour behaviour = Upstream::answerSoundly;
 
         Upstream(String id, String service, String zone, int slots, int port) throws IOException {
@@ -436,9 +410,7 @@
             Harness.start("beat-" + id, () -> {
                 while (!server.isClosed()) {
                     sleep(1500);
-                    if (beats) {
-                        beat();
-                    }
+                    beat();
                 }
             });
         }
@@ -450,7 +422,7 @@
         void beat() {
             store.put("servers", id, "{\"service\":\"" + service + "\",\"address\":\"" + address()
                     + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"concurrency\":" + slots
-                    + ",\"state\":\"" + state + "\",\"warmup_left_ms\":0,\"sequence\":"
+                    + ",\"state\":\"ready\",\"warmup_left_ms\":0,\"sequence\":"
                     + sequence.incrementAndGet() + ",\"born\":" + born + "}");
         }
 
@@ -485,7 +457,7 @@
                 Map<String, String> headers = headers();
                 headers.put("X-Siskinramp-Instance-Id", id);
                 headers.put("X-Siskinramp-Warmup-Ms", "0");
-                write(socket, answerHead(state.equals("ready") ? 200 : 503, headers, 0),
+                write(socket, answerHead(200, headers, 0),
                         new byte[0]);
                 return true;
             }
@@ -506,7 +478,6 @@
             }
             try {
                 runs.computeIfAbsent(requestId, key -> new AtomicInteger()).incrementAndGet();
-                ranAt.put(requestId, now());
                 return behaviour.answer(this, request, socket, in);
             } finally {
                 running.decrementAndGet();
@@ -514,7 +485,7 @@
         }
 
         Map<String, String> headers() {
-            Map<String, String> headers = new LinkedHashMap<>(extraHeaders);
+            Map<String, String> headers = new LinkedHashMap<>();
             int busy = running.get();
             headers.put("X-Siskinramp-Upstream-Load", Math.min(busy, slots) + ","
                     + Math.max(0, busy - slots) + "," + slots + ",100");
@@ -533,10 +504,6 @@
             write(socket, answerHead(200, headers, body.length), body);
             return true;
         }
-
-        int totalRuns() {
-            return runs.values().stream().mapToInt(AtomicInteger::get).sum();
-        }
     }
 
     int runs(String requestId) {
@@ -548,16 +515,12 @@
 
     record Row(String table, String key, String value, long version, boolean removed) {}
 
-    /** The platform's metadata store: tables, a change feed and eras. */
+    /** The platform's metadata store: tables with a change feed. */
     final class Store {
         private final ServerSocket server;
         private final TreeMap<String, Row> rows = new TreeMap<>();
         private final List<Row> history = new ArrayList<>();
         private long version = 1;
-        private long historyFrom = 0;
-        private long era = -1;
-        volatile Behaviour fault;
-        final AtomicInteger calls = new AtomicInteger();
 
         Store() throws IOException {
             server = new ServerSocket();
@@ -601,32 +564,18 @@
             notifyAll();
         }
 
-        synchronized void compact() {
-            history.clear();
-            historyFrom = version;
-        }
-
         private void serve(Socket socket) {
             try (socket) {
                 InputStream in = new BufferedInputStream(socket.getInputStream());
                 while (true) {
-                    Message request = readRequest(in);
-                    calls.incrementAndGet();
-                    Behaviour current = fault;
-                    if (current != null) {
-                        if (!current.answer(null, request, socket, in)) {
-                            return;
-                        }
-                    } else {
-                        handle(request, socket);
-                    }
+                    handle(readRequest(in), socket);
                 }
             } catch (IOException closed) {
                 // The caller closed the connection.
             }
         }
 
-        void handle(Message request, Socket socket) throws IOException {
+        private void handle(Message request, Socket socket) throws IOException {
             String path = request.target.split("\\?")[0];
             Map<String, String> query = new LinkedHashMap<>();
             if (request.target.contains("?")) {
@@ -654,9 +603,6 @@
             byte[] body = (answer == null ? "{}" : answer).getBytes(StandardCharsets.UTF_8);
             Map<String, String> headers = new LinkedHashMap<>();
             headers.put("Content-Type", "application/json");
-            if (era >= 0) {
-                headers.put("Store-Era", Long.toString(era));
-            }
             write(socket, answerHead(status, headers, body.length), body);
         }
 
@@ -673,7 +619,7 @@
             long end = System.currentTimeMillis()
                     + Long.parseLong(query.getOrDefault("wait_ms", "0"));
             while (true) {
-                if (after < historyFrom || after > version) {
+                if (after > version) {
                     return null;
                 }
                 Map<String, Row> found = new LinkedHashMap<>();
