Review: the foreign entries are renewed like those of an upstream

An entry that is silent for three heartbeat intervals would be removed, so the writer renews its entries each 1.5 s.

--- a/review/harness/ForeignEntries.java
+++ b/review/harness/ForeignEntries.java
@@ -7,6 +7,7 @@
 
     private static final int ENTRIES = 24;
     private static final long PERIOD_MILLISECONDS = 70_000;
+    private static final long HEARTBEAT_MILLISECONDS = 1_500;
     private static final long INTERVAL_MILLISECONDS = 200;
 
     private final Harness harness;
@@ -50,12 +51,15 @@
             Harness.start("writer", () -> send(gateway, "POST", "/pufi791/", end, writes, writesServed));
         }
         Harness.sleep(trouble - harness.now());
-        for (int i = 0; Harness.TROUBLE && i < ENTRIES; i++) {
-            String entry = "{\"service\":\"desk\",\"address\":\"http://127.0.0.1:9\",\"zone\":\"alm-a\","
-                    + "\"version\":\"v1\",\"concurrency\":4,\"state\":\"ready\",\"warmup_left_ms\":0,"
-                    + "\"sequence\":1}";
-            harness.store.put("servers", "foreign-" + i, entry);
-            harness.log("foreign entry " + i + " " + entry);
+        for (int beat = 1; harness.now() < end - 35_000; beat++) {
+            for (int i = 0; Harness.TROUBLE && i < ENTRIES; i++) {
+                String entry = "{\"service\":\"desk\",\"address\":\"http://127.0.0.1:9\","
+                        + "\"zone\":\"alm-a\",\"version\":\"v1\",\"concurrency\":4,"
+                        + "\"state\":\"ready\",\"warmup_left_ms\":0,\"sequence\":" + beat + "}";
+                harness.store.put("servers", "foreign-" + i, entry);
+                harness.log("foreign entry " + i + " " + entry);
+            }
+            Harness.sleep(HEARTBEAT_MILLISECONDS);
         }
         Harness.sleep(end - 35_000 - harness.now());
         for (int i = 0; Harness.TROUBLE && i < ENTRIES; i++) {
