Log cancelled requests and delays of the process

The logs did not tell when a caller was found to have left while its request was in progress, whether an attempt was in flight then, or that the process ran late, so the hypotheses of the incident could not be told apart.

Added: event request_cancelled, stage and time in caller_gone, event process_delayed with a counter. A trace tells that a cancelled request without an attempt has not run. No decision changes.

--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
@@ -132,8 +132,17 @@
             Request request,
             Response response,
             Callback callback) {
-        Callback logging = Callback.from(callback, failure -> logIfUndelivered(accepted, failure));
+        long readMilliseconds = clock.monotonicMilliseconds();
         CompletableFuture<Answer> answered = startProcessing(accepted, body);
+        Callback logging =
+                Callback.from(
+                        callback,
+                        failure ->
+                                logIfUndelivered(
+                                        accepted,
+                                        answered.isCancelled() ? "processing" : "answering",
+                                        readMilliseconds,
+                                        failure));
         EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
         if (endPoint instanceof CloseDetectingEndPoint detecting) {
             detecting.setCloseListener(() -> answered.cancel(false));
@@ -162,11 +171,14 @@
         }
     }
 
-    private void logIfUndelivered(AcceptedRequest accepted, Throwable failure) {
+    private void logIfUndelivered(
+            AcceptedRequest accepted, String stage, long readMilliseconds, Throwable failure) {
         if (failure != null) {
             eventLog.record(
                     LogEvent.named("caller_gone")
                             .with("request", accepted.requestId())
+                            .with("stage", stage)
+                            .with("took_ms", clock.monotonicMilliseconds() - readMilliseconds)
                             .with("cause", failure));
         }
     }
--- a/daemon/src/main/java/org/siskinramp/daemon/gateway/GatewayDaemon.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/gateway/GatewayDaemon.java
@@ -36,6 +36,7 @@
     private final Workers workers;
     private final EventLog eventLog;
     private final GatewayShutdown shutdown;
+    private final DelayMonitor delayMonitor;
     private volatile boolean stopping;
 
     private GatewayDaemon(Builder builder) {
@@ -56,6 +57,7 @@
                         Objects.requireNonNull(builder.clock, "clock"),
                         workers,
                         eventLog);
+        delayMonitor = new DelayMonitor(builder.clock, eventLog);
     }
 
     /**
@@ -84,7 +86,7 @@
         backendServers.start();
         startActions.forEach(Runnable::run);
         followers.forEach(ChangeFollower::start);
-        workers.schedule(TICK_INTERVAL_MILLISECONDS, this::tick);
+        scheduleTick();
         eventLog.record(
                 LogEvent.named("started")
                         .with("caller_address", settings.callers().address())
@@ -113,6 +115,10 @@
                 "siskinramp_quarantined_requests",
                 "Requests that are refused since they end backend servers.",
                 gateway::quarantinedRequests);
+        metrics.registerCounter(
+                "siskinramp_process_delays",
+                "How often the process ran at least 0.2 s late.",
+                delayMonitor::delays);
         metrics.register("siskinramp_hosts", "Hosts that share the budgets.", gateway::hostCount);
         metrics.register(
                 "siskinramp_backend_servers_usable",
@@ -140,13 +146,19 @@
     }
 
     private void tick() {
+        delayMonitor.taskStarted();
         try {
             gateway.tick();
         } finally {
-            workers.schedule(TICK_INTERVAL_MILLISECONDS, this::tick);
+            scheduleTick();
         }
     }
 
+    private void scheduleTick() {
+        delayMonitor.taskScheduled(TICK_INTERVAL_MILLISECONDS);
+        workers.schedule(TICK_INTERVAL_MILLISECONDS, this::tick);
+    }
+
     private ManagementPage readinessPage() {
         boolean ready = isReady();
         byte[] body = (ready ? "ready\n" : "not ready\n").getBytes(StandardCharsets.UTF_8);
--- a/library/src/main/java/org/siskinramp/gateway/RequestCompletion.java
+++ b/library/src/main/java/org/siskinramp/gateway/RequestCompletion.java
@@ -9,8 +9,9 @@
 import org.siskinramp.routing.DeferredActions;
 
 /**
- * Completes requests in one of three ways: with an answer, refused as not run, or failed so that
- * the request may have run. Guarded by the lock of the gateway.
+ * Completes requests in one of four ways: with an answer, refused as not run, failed so that the
+ * request may have run, or cancelled because its caller has disconnected. Guarded by the lock of
+ * the gateway.
  */
 final class RequestCompletion {
 
@@ -90,6 +91,25 @@
         }
     }
 
+    /** Cancels a request; returns false if it was completed before. */
+    boolean cancel(RequestContext context) {
+        if (!context.tryComplete()) {
+            return false;
+        }
+        long now = environment.clock().monotonicMilliseconds();
+        environment.counters().add(Counter.CALLERS_LEFT);
+        environment
+                .eventLog()
+                .record(
+                        LogEvent.named("request_cancelled")
+                                .with("request", context.request().key().requestId())
+                                .with("service", context.request().service())
+                                .with("attempts", context.sendCount())
+                                .with("attempts_in_flight", context.openAttempts().size())
+                                .with("took_ms", now - context.request().arrivedMilliseconds()));
+        return true;
+    }
+
     private static void fail(
             RequestContext context, ResultException failure, DeferredActions deferred) {
         deferred.add(() -> context.answer().completeExceptionally(failure));
--- a/library/src/main/java/org/siskinramp/gateway/ServicePool.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServicePool.java
@@ -12,7 +12,6 @@
 import org.siskinramp.fleet.Fleet;
 import org.siskinramp.fleet.KnownServer;
 import org.siskinramp.health.LatencyWindow;
-import org.siskinramp.log.Counter;
 import org.siskinramp.queue.WaitingQueue;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.route.RouteTable;
@@ -326,9 +325,8 @@
     /** Cancels a request whose caller has disconnected. */
     void cancel(RequestContext context, DeferredActions deferred) {
         dequeue(context);
-        if (context.tryComplete()) {
+        if (completion.cancel(context)) {
             dispatcher.cancelAttempts(context, deferred);
-            environment.counters().add(Counter.CALLERS_LEFT);
         }
         processQueue(deferred);
     }
--- a/library/src/main/java/org/siskinramp/trace/RequestTrace.java
+++ b/library/src/main/java/org/siskinramp/trace/RequestTrace.java
@@ -67,8 +67,12 @@
         if (find("request_answered").isPresent()) {
             return countPossibleRuns() > 1 ? TraceVerdict.RAN : TraceVerdict.RAN_ONCE;
         }
-        boolean refused = find("request_refused").isPresent() || find("refuse").isPresent();
-        return refused && countPossibleRuns() == 0 ? TraceVerdict.NOT_RUN : TraceVerdict.UNKNOWN;
+        boolean ended =
+                find("request_refused")
+                        .or(() -> find("refuse"))
+                        .or(() -> find("request_cancelled"))
+                        .isPresent();
+        return ended && countPossibleRuns() == 0 ? TraceVerdict.NOT_RUN : TraceVerdict.UNKNOWN;
     }
 
     /** Counts the attempts that may have run: those that no line proves not to have run. */
@@ -112,12 +116,16 @@
                 find("request_answered")
                         .or(() -> find("request_refused"))
                         .or(() -> find("request_failed"))
-                        .or(() -> find("refuse"));
+                        .or(() -> find("refuse"))
+                        .or(() -> find("request_cancelled"));
         return end.map(RequestTrace::endReason)
                 .orElse("its end is not logged: it is in progress, or the gateway stopped before");
     }
 
     private static String endReason(LogLine end) {
+        if (end.isEvent("request_cancelled")) {
+            return "its caller closed the connection " + end.value("took_ms") + " ms after it sent";
+        }
         return end.value("event")
                 + " with result code "
                 + (end.value("result_code").isEmpty()
--- a/library/src/test/java/org/siskinramp/trace/RequestTraceTest.java
+++ b/library/src/test/java/org/siskinramp/trace/RequestTraceTest.java
@@ -38,6 +38,17 @@
                 trace("WARN event=refuse request=a1 code=406 reason=X").verdict());
     }
 
+    @Test
+    void aCancelledRequestHasNotRunOnlyIfItWasNeverSent() {
+        String cancelled = "event=request_cancelled request=a1 attempts=%d took_ms=250";
+        RequestTrace unsent = trace(cancelled.formatted(0));
+        assertEquals(TraceVerdict.NOT_RUN, unsent.verdict());
+        assertEquals("its caller closed the connection 250 ms after it sent", unsent.reason());
+        assertEquals(
+                TraceVerdict.UNKNOWN,
+                trace(place(1), cancelled.formatted(1), end(1, "cancelled")).verdict());
+    }
+
     @Test
     void aRefusedRequestWhoseAttemptsAllProvablyDidNotRunHasNotRun() {
         assertEquals(
