--- a/daemon/src/test/java/org/siskinramp/daemon/exchange/ScriptedServer.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/exchange/ScriptedServer.java
@@ -39,6 +39,7 @@
     private final List<String> requests = new CopyOnWriteArrayList<>();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final AtomicInteger ended = new AtomicInteger();
+    private final AtomicInteger reset = new AtomicInteger();
 
     /** Starts listening on a free port. */
     public ScriptedServer(UnaryOperator<String> script) throws IOException {
@@ -69,6 +70,11 @@
         return ended.get();
     }
 
+    /** Returns how many connections the client reset, which discards bytes still on their way. */
+    public int resetByPeer() {
+        return reset.get();
+    }
+
     /** Writes to all connections without a request. */
     public void push(String text) throws IOException {
         for (Socket socket : sockets) {
@@ -113,6 +119,7 @@
             }
             ended.incrementAndGet();
         } catch (IOException gone) {
+            reset.incrementAndGet();
             ended.incrementAndGet();
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
--- /dev/null
+++ b/stand-in/src/main/java/org/siskinramp/standin/upstream/RunListener.java
@@ -0,0 +1,30 @@
+package org.siskinramp.standin.upstream;
+
+/** Is notified of the requests that a backend server runs. */
+public interface RunListener {
+
+    /** Ignores all requests. */
+    RunListener NONE =
+            new RunListener() {
+                @Override
+                public void started(String requestId) {}
+
+                @Override
+                public void ended(String requestId) {}
+            };
+
+    /**
+     * Is called when the server starts to run a request.
+     *
+     * @param requestId the identifier of the request
+     */
+    void started(String requestId);
+
+    /**
+     * Is called when the server has run a request to its end, and when it finds that the connection
+     * of a running request was closed. Both may happen to the same request.
+     *
+     * @param requestId the identifier of the request
+     */
+    void ended(String requestId);
+}
