Close connections to backend servers by a reset

A request could reach a server long after its caller had left and the host had cancelled it. Cause: a connection was closed in order, so the network kept what it had not delivered and delivered it once it could, seconds later after a cut. Evidence: CancelledExchangeTest failed (2 of 2 closes were orderly) and passes. Why this works: SO_LINGER 0 and no half-close make each close a reset, which discards undelivered bytes. An exchange only closes its connection after a complete answer or a failure, so no answer is lost by it.

--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/ResetAwareConnector.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/ResetAwareConnector.java
@@ -1,6 +1,8 @@
 package org.siskinramp.daemon.exchange;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
@@ -14,8 +16,12 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
- * Opens connections on which a TCP reset is a failure. By default, Jetty reads a reset as the end
- * of the stream, so that a truncated answer without a length would look complete.
+ * Opens connections on which a TCP reset is a failure, and which are closed by a reset.
+ *
+ * <p>By default, Jetty reads a reset as the end of the stream, so that a truncated answer without a
+ * length would look complete. It also closes connections in order, so that the network delivers the
+ * rest of a cancelled request whenever it can; a reset discards these bytes. No other exchange
+ * loses anything, since a connection is closed only after a complete answer or a failure.
  */
 final class ResetAwareConnector extends ClientConnector {
 
@@ -30,7 +36,17 @@
     @Override
     protected EndPoint newEndPoint(
             SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
-        return new ResetAwareEndPoint((SocketChannel) channel, selector, key, getScheduler());
+        SocketChannel socket = (SocketChannel) channel;
+        discardUnsentBytesOnClose(socket);
+        return new ResetAwareEndPoint(socket, selector, key, getScheduler());
+    }
+
+    private static void discardUnsentBytesOnClose(SocketChannel socket) {
+        try {
+            socket.setOption(StandardSocketOptions.SO_LINGER, 0);
+        } catch (IOException failure) {
+            throw new UncheckedIOException("cannot set SO_LINGER", failure);
+        }
     }
 
     private static final class UnusedSslContextFactory extends SslContextFactory.Client {
@@ -53,6 +69,10 @@
             super(channel, selector, key, scheduler);
         }
 
+        /** Skips the half-close before the close, which would announce an orderly end. */
+        @Override
+        protected void doShutdownOutput() {}
+
         @Override
         public int fill(ByteBuffer buffer) throws IOException {
             if (isInputShutdown()) {
