Register an attempt before it is sent, so that a cancel finds it

A caller that left at the moment at which its request was written to an idle connection did not cancel it: the link registered the exchange after it had written the request. Evidence: JettyBackendServerLinkTest.sendsNothingIfAnAttemptIsCancelledWhileItIsSent sends the request and is answered on the code before. Change: an exchange is prepared, registered, then started.

--- a/daemon/src/main/java/org/siskinramp/daemon/backend/JettyBackendServerLink.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/backend/JettyBackendServerLink.java
@@ -99,15 +99,19 @@
     public CompletableFuture<AttemptAnswer> dispatch(Attempt attempt) {
         ExchangeCall call;
         try {
-            call = exchanger.send(toExchangeRequest(attempt));
+            call = exchanger.prepare(toExchangeRequest(attempt));
         } catch (ResultException malformedAddress) {
             return CompletableFuture.failedFuture(invalidAddress(malformedAddress));
         }
         callsByAttemptNumber.put(attempt.number(), call);
-        return call.answer()
-                .whenComplete(
-                        (answer, failure) -> callsByAttemptNumber.remove(attempt.number(), call))
-                .thenApply(answer -> protocol.read(attempt, answer));
+        CompletableFuture<AttemptAnswer> answered =
+                call.answer()
+                        .whenComplete(
+                                (answer, failure) ->
+                                        callsByAttemptNumber.remove(attempt.number(), call))
+                        .thenApply(answer -> protocol.read(attempt, answer));
+        call.start();
+        return answered;
     }
 
     private static AttemptException invalidAddress(ResultException malformedAddress) {
--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/Exchange.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/Exchange.java
@@ -80,6 +80,11 @@
         return request.deadlineMilliseconds() - clock.monotonicMilliseconds();
     }
 
+    @Override
+    public void start() {
+        exchanger.start(this);
+    }
+
     @Override
     public CompletableFuture<ExchangeAnswer> answer() {
         return answer;
--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/ExchangeCall.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/ExchangeCall.java
@@ -2,9 +2,12 @@
 
 import java.util.concurrent.CompletableFuture;
 
-/** An exchange that was started. */
+/** An exchange, which is started once. */
 public interface ExchangeCall {
 
+    /** Sends the request, unless the exchange was cancelled before. */
+    void start();
+
     /**
      * Returns the future of the answer.
      *
--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/HttpExchanger.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/HttpExchanger.java
@@ -111,16 +111,31 @@
      * @return the exchange
      */
     public ExchangeCall send(ExchangeRequest request) {
-        Exchange exchange =
-                new Exchange(
-                        request,
-                        options,
-                        clock,
-                        this,
-                        connection -> releaseConnection(request.address(), connection));
+        ExchangeCall call = prepare(request);
+        call.start();
+        return call;
+    }
+
+    /**
+     * Prepares an exchange, which can be cancelled from then on.
+     *
+     * @param request the request
+     * @return the exchange, which sends nothing before it is started
+     */
+    public ExchangeCall prepare(ExchangeRequest request) {
+        return new Exchange(
+                request,
+                options,
+                clock,
+                this,
+                connection -> releaseConnection(request.address(), connection));
+    }
+
+    /** Sends the request of an exchange on an idle connection, or on a new one. */
+    void start(Exchange exchange) {
+        ExchangeRequest request = exchange.request();
         pool.take(request.address(), request.idleLimitMilliseconds())
                 .ifPresentOrElse(exchange::sendOn, () -> openConnection(exchange));
-        return exchange;
     }
 
     /** Opens a new connection for an exchange, even if idle ones exist. */
--- a/daemon/src/test/java/org/siskinramp/daemon/backend/JettyBackendServerLinkTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/backend/JettyBackendServerLinkTest.java
@@ -273,6 +273,22 @@
         awaitClosedByPeer(1);
     }
 
+    /** The caller leaves at the moment at which its request is sent on an idle connection. */
+    @Test
+    void sendsNothingIfAnAttemptIsCancelledWhileItIsSent() throws Exception {
+        serve(ANSWER);
+        dispatch(1).get(5, TimeUnit.SECONDS);
+        BooleanSupplier cancelling =
+                () -> {
+                    link.cancel(2);
+                    return true;
+                };
+        assertEquals(
+                AttemptFailure.CANCELLED, failure(link.dispatch(attempt(2, false, cancelling))));
+        dispatch(3).get(5, TimeUnit.SECONDS);
+        assertEquals(2, server.requests().size());
+    }
+
     @Test
     void closesConnectionsAsOldAsOneThatStoppedResponding() throws Exception {
         AtomicInteger answers = new AtomicInteger();
