Watch for the close of a connection also behind bytes sent ahead

The request of a caller that had sent the beginning of its next request and then left was run to its end. Cause: the end point stopped reading once it had bytes of a next request. Reads by the HTTP connection and read-aheads now exclude each other.

--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
@@ -54,6 +54,10 @@
         return requestsInProgress;
     }
 
+    BodyMemoryBudget bodyMemoryBudget() {
+        return bodyMemoryBudget;
+    }
+
     AnswerWriter writer() {
         return writer;
     }
@@ -70,7 +74,7 @@
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
         if (stopping.get() || keepAliveDisabled.get()) {
-            response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
+            closeAfterAnswer(response);
         }
         if (stopping.get()) {
             requestsInProgress.begin();
@@ -146,7 +150,12 @@
         EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
         if (endPoint instanceof CloseDetectingEndPoint detecting) {
             detecting.setCloseListener(() -> answered.cancel(false));
-            Futures.whenDone(answered, (answer, failure) -> detecting.clearCloseListener());
+            Futures.whenDone(answered, (answer, failure) -> {
+                        detecting.clearCloseListener();
+                        if (detecting.hasDiscardedInput()) {
+                            closeAfterAnswer(response);
+                        }
+                    });
         }
         Futures.whenDone(
                 answered,
@@ -162,6 +171,10 @@
                 });
     }
 
+    private static void closeAfterAnswer(Response response) {
+        response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
+    }
+
     private static CompletableFuture<Answer> startProcessing(
             AcceptedRequest accepted, byte[] body) {
         try {
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerServer.java
@@ -113,7 +113,10 @@
 
     private ServerConnector newConnector() {
         ServerConnector created =
-                new CloseDetectingConnector(server, new HttpConnectionFactory(newConfiguration()));
+                new CloseDetectingConnector(
+                        server,
+                        new HttpConnectionFactory(newConfiguration()),
+                        handler.bodyMemoryBudget());
         created.setHost(options.host());
         created.setPort(options.port());
         created.setIdleTimeout(options.idleTimeoutMilliseconds());
@@ -211,8 +214,12 @@
         private static final int ACCEPTORS = 0;
         private static final int SELECTORS = 1;
 
-        private CloseDetectingConnector(Server server, HttpConnectionFactory factory) {
+        private final BodyMemoryBudget memoryBudget;
+
+        private CloseDetectingConnector(
+                Server server, HttpConnectionFactory factory, BodyMemoryBudget memoryBudget) {
             super(server, ACCEPTORS, SELECTORS, factory);
+            this.memoryBudget = memoryBudget;
         }
 
         @Override
@@ -220,7 +227,7 @@
                 SocketChannel channel, ManagedSelector selector, SelectionKey key) {
             SocketChannelEndPoint endPoint =
                     new CloseDetectingEndPoint(
-                            channel, selector, key, getScheduler(), getExecutor());
+                            channel, selector, key, getScheduler(), getExecutor(), memoryBudget);
             endPoint.setIdleTimeout(getIdleTimeout());
             return endPoint;
         }
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CloseDetectingEndPoint.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CloseDetectingEndPoint.java
@@ -19,7 +19,12 @@
  */
 final class CloseDetectingEndPoint extends SocketChannelEndPoint {
 
-    private static final int READ_AHEAD_BYTES = 1024;
+    private static final int READ_BYTES = 1024;
+
+    /** Bytes that one call reads at most, so that a caller that floods delays no other. */
+    private static final int READ_LIMIT_BYTES = 64 * 1024;
+
+    private static final int END_OF_INPUT = -1;
 
     private final Object stateLock = new Object();
     private final Callback readAheadCallback =
@@ -41,7 +46,7 @@
             };
 
     private final Executor executor;
-    private ByteBuffer readAheadBuffer = BufferUtil.EMPTY_BUFFER;
+    private final ReadAheadBuffer readAheadBuffer;
     private boolean endOfInput;
     private boolean readAheadPending;
     private Callback pendingReader;
@@ -52,9 +57,11 @@
             ManagedSelector selector,
             SelectionKey key,
             Scheduler scheduler,
-            Executor executor) {
+            Executor executor,
+            BodyMemoryBudget memoryBudget) {
         super(channel, selector, key, scheduler);
         this.executor = executor;
+        this.readAheadBuffer = new ReadAheadBuffer(memoryBudget);
     }
 
     /**
@@ -65,10 +72,10 @@
     void setCloseListener(Runnable listener) {
         boolean closed;
         synchronized (stateLock) {
-            closeListener = listener;
             closed = endOfInput || !isOpen();
-            if (!closed && !readAheadPending && !readAheadBuffer.hasRemaining()) {
-                readAheadPending = super.tryFillInterested(readAheadCallback);
+            if (!closed) {
+                closeListener = listener;
+                registerReadAhead();
             }
         }
         if (closed) {
@@ -83,6 +90,46 @@
         }
     }
 
+    /**
+     * Reads what has arrived, which finds a close that no event has reported yet. May be called
+     * only while a request is in progress.
+     *
+     * @return true if the caller has closed the connection
+     */
+    boolean isClosedByCaller() {
+        boolean closed;
+        Runnable listener;
+        synchronized (stateLock) {
+            readAhead();
+            closed = endOfInput || !isOpen();
+            listener = closed ? takeCloseListener() : null;
+        }
+        notifyListeners(null, listener);
+        return closed;
+    }
+
+    /**
+     * Tells whether the caller sent so much ahead of its answer that it was discarded. Nothing can
+     * be read after that, so the connection must be closed after the answer.
+     */
+    boolean hasDiscardedInput() {
+        synchronized (stateLock) {
+            return readAheadBuffer.isOverflowed();
+        }
+    }
+
+    private void registerReadAhead() {
+        if (!readAheadPending) {
+            readAheadPending = super.tryFillInterested(readAheadCallback);
+        }
+    }
+
+    private Runnable takeCloseListener() {
+        Runnable listener = closeListener;
+        closeListener = null;
+        return listener;
+    }
+
     private void onReadable() {
         Callback waitingReader;
         Runnable listener = null;
@@ -90,29 +137,35 @@
             readAheadPending = false;
             waitingReader = pendingReader;
             pendingReader = null;
-            if (waitingReader == null && readAhead()) {
-                listener = closeListener;
-                closeListener = null;
+            if (waitingReader == null) {
+                readAhead();
+                if (endOfInput) {
+                    listener = takeCloseListener();
+                } else if (closeListener != null || !readAheadBuffer.hasRemaining()) {
+                    registerReadAhead();
+                }
             }
         }
         notifyListeners(waitingReader, listener);
     }
 
-    /** Buffers bytes that have arrived; returns true if the caller has closed the connection. */
-    private boolean readAhead() {
-        ByteBuffer buffer = BufferUtil.allocate(READ_AHEAD_BYTES);
+    /** Buffers bytes that have arrived, and notes whether the caller has closed the connection. */
+    private void readAhead() {
+        int total = 0;
         try {
-            int read = super.fill(buffer);
-            endOfInput = read < 0;
-            if (read > 0) {
-                readAheadBuffer = buffer;
-            } else if (read == 0) {
-                readAheadPending = super.tryFillInterested(readAheadCallback);
+            int read = 1;
+            while (read > 0 && total < READ_LIMIT_BYTES && !endOfInput) {
+                ByteBuffer buffer = BufferUtil.allocate(READ_BYTES);
+                read = super.fill(buffer);
+                endOfInput = read < 0;
+                if (read > 0) {
+                    readAheadBuffer.add(buffer);
+                    total += read;
+                }
             }
         } catch (IOException failure) {
             endOfInput = true;
         }
-        return endOfInput;
     }
 
     private void onReadFailure(Throwable failure) {
@@ -122,8 +175,7 @@
             readAheadPending = false;
             waitingReader = pendingReader;
             pendingReader = null;
-            listener = closeListener;
-            closeListener = null;
+            listener = takeCloseListener();
         }
         if (waitingReader != null) {
             waitingReader.failed(failure);
@@ -140,6 +192,14 @@
         }
     }
 
+    @Override
+    public void onClose(Throwable cause) {
+        synchronized (stateLock) {
+            readAheadBuffer.clear();
+        }
+        super.onClose(cause);
+    }
+
     @Override
     public void fillInterested(Callback callback) {
         if (!takeOverInterest(callback)) {
@@ -153,16 +213,18 @@
     }
 
     /**
-     * Registers the read callback of the HTTP connection here if a read-ahead is pending, or runs
-     * it at once if bytes are buffered or the input has ended. Returns false if neither applies.
+     * Runs the read callback of the HTTP connection at once if bytes are buffered or the input has
+     * ended, or registers it here if a read-ahead is pending. Returns false if neither applies.
      */
     private boolean takeOverInterest(Callback callback) {
         synchronized (stateLock) {
-            if (readAheadPending) {
+            boolean readable =
+                    readAheadBuffer.hasRemaining() || readAheadBuffer.isOverflowed() || endOfInput;
+            if (!readable && readAheadPending) {
                 pendingReader = callback;
                 return true;
             }
-            if (!readAheadBuffer.hasRemaining() && !endOfInput) {
+            if (!readable) {
                 return false;
             }
         }
@@ -181,12 +243,12 @@
     public int fill(ByteBuffer buffer) throws IOException {
         synchronized (stateLock) {
             if (readAheadBuffer.hasRemaining()) {
-                return BufferUtil.append(buffer, readAheadBuffer);
+                return readAheadBuffer.moveTo(buffer);
             }
-            if (endOfInput) {
-                return -1;
+            if (endOfInput || readAheadBuffer.isOverflowed()) {
+                return END_OF_INPUT;
             }
+            return super.fill(buffer);
         }
-        return super.fill(buffer);
     }
 }
