Look for the caller's close before a request is processed and sent

After a host had stood still, or had been late, it read requests whose callers had left, placed and sent them; only then it read the closes, which had waited in the same sockets. Change: CallerConnection, which reads the socket without waiting, is asked before a request is processed and in the permission that precedes the first byte of each attempt, retries included.

--- a/daemon/src/main/java/org/siskinramp/daemon/caller/AcceptedRequest.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/AcceptedRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CompletableFuture;
 import org.siskinramp.request.Answer;
+import org.siskinramp.request.CallerConnection;
 
 /** A request whose head was read and accepted. */
 public interface AcceptedRequest {
@@ -17,8 +18,10 @@
      * Processes the request.
      *
      * @param body the complete body of the request
+     * @param connection tells whether the caller still waits for the answer; it is asked right
+     *     before the request is sent to a backend server
      * @return the complete answer; fails with a {@link org.siskinramp.result.ResultException}. It
      *     is cancelled if the caller closes its connection
      */
-    CompletableFuture<Answer> process(byte[] body);
+    CompletableFuture<Answer> process(byte[] body, CallerConnection connection);
 }
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
-import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -15,6 +14,7 @@
 import org.siskinramp.log.EventLog;
 import org.siskinramp.log.LogEvent;
 import org.siskinramp.request.Answer;
+import org.siskinramp.request.CallerConnection;
 import org.siskinramp.result.Futures;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.result.ResultException;
@@ -137,7 +137,16 @@
             Response response,
             Callback callback) {
         long readMilliseconds = clock.monotonicMilliseconds();
-        CompletableFuture<Answer> answered = startProcessing(accepted, body);
+        CloseDetectingEndPoint caller = callerOf(request);
+        if (caller.isClosedByCaller()) {
+            counters.add(Counter.CALLERS_LEFT);
+            EofException closed = new EofException("caller closed the connection");
+            logIfUndelivered(accepted, "reading", readMilliseconds, closed);
+            callback.failed(closed);
+            return;
+        }
+        CompletableFuture<Answer> answered =
+                startProcessing(accepted, body, () -> !caller.isClosedByCaller());
         Callback logging =
                 Callback.from(
                         callback,
@@ -147,19 +156,14 @@
                                         answered.isCancelled() ? "processing" : "answering",
                                         readMilliseconds,
                                         failure));
-        EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
-        if (endPoint instanceof CloseDetectingEndPoint detecting) {
-            detecting.setCloseListener(() -> answered.cancel(false));
-            Futures.whenDone(answered, (answer, failure) -> {
-                        detecting.clearCloseListener();
-                        if (detecting.hasDiscardedInput()) {
-                            closeAfterAnswer(response);
-                        }
-                    });
-        }
+        caller.setCloseListener(() -> answered.cancel(false));
         Futures.whenDone(
                 answered,
                 (answer, failure) -> {
+                    caller.clearCloseListener();
+                    if (caller.hasDiscardedInput()) {
+                        closeAfterAnswer(response);
+                    }
                     if (failure == null) {
                         writer.write(answer, accepted.requestId(), response, logging);
                     } else if (answered.isCancelled()) {
@@ -171,14 +175,19 @@
                 });
     }
 
+    private static CloseDetectingEndPoint callerOf(Request request) {
+        return (CloseDetectingEndPoint)
+                request.getConnectionMetaData().getConnection().getEndPoint();
+    }
+
     private static void closeAfterAnswer(Response response) {
         response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
     }
 
     private static CompletableFuture<Answer> startProcessing(
-            AcceptedRequest accepted, byte[] body) {
+            AcceptedRequest accepted, byte[] body, CallerConnection connection) {
         try {
-            return accepted.process(body);
+            return accepted.process(body, connection);
         } catch (RuntimeException failure) {
             return CompletableFuture.failedFuture(failure);
         }
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/StandardCallerProtocol.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/StandardCallerProtocol.java
@@ -6,6 +6,7 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Request;
 import org.siskinramp.request.Answer;
+import org.siskinramp.request.CallerConnection;
 import org.siskinramp.result.ResultException;
 
 /** The standard protocol of callers, with headers such as {@code Request-Id}. */
@@ -76,7 +77,7 @@
         }
 
         @Override
-        public CompletableFuture<Answer> process(byte[] body) {
+        public CompletableFuture<Answer> process(byte[] body, CallerConnection connection) {
             return handler.handle(head.withBody(body));
         }
     }
--- a/library/src/main/java/org/siskinramp/gateway/AttemptDispatcher.java
+++ b/library/src/main/java/org/siskinramp/gateway/AttemptDispatcher.java
@@ -96,7 +96,7 @@
                         context.request().deadlineMilliseconds(),
                         server.isCold(now),
                         "",
-                        () -> isPermitted(number));
+                        () -> context.callerConnection().isOpen() && isPermitted(number));
         deferred.add(
                 () ->
                         Futures.whenDone(
--- a/library/src/main/java/org/siskinramp/gateway/Gateway.java
+++ b/library/src/main/java/org/siskinramp/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import org.siskinramp.quarantine.CrashReporter;
 import org.siskinramp.quarantine.Quarantine;
 import org.siskinramp.request.Answer;
+import org.siskinramp.request.CallerConnection;
 import org.siskinramp.request.Request;
 import org.siskinramp.result.Futures;
 import org.siskinramp.route.Route;
@@ -282,7 +283,20 @@
      *     attempts of the request
      */
     public CompletableFuture<Answer> handle(Request request, Route route) {
-        RequestContext context = new RequestContext(request, route);
+        return handle(request, route, CallerConnection.ALWAYS_OPEN);
+    }
+
+    /**
+     * Sends a request to a backend server and returns its answer, unless the caller leaves before.
+     *
+     * @param request the request, with a service from {@link #assignService}
+     * @param route its route
+     * @param callerConnection is asked, without a lock held, right before each attempt is sent
+     * @return the complete answer, as in {@link #handle(Request, Route)}
+     */
+    public CompletableFuture<Answer> handle(
+            Request request, Route route, CallerConnection callerConnection) {
+        RequestContext context = new RequestContext(request, route, callerConnection);
         environment.counters().add(Counter.REQUESTS);
         runLocked(
                 deferred -> {
--- a/library/src/main/java/org/siskinramp/gateway/RequestContext.java
+++ b/library/src/main/java/org/siskinramp/gateway/RequestContext.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.siskinramp.request.Answer;
+import org.siskinramp.request.CallerConnection;
 import org.siskinramp.request.Request;
 import org.siskinramp.route.Route;
 
@@ -12,6 +13,7 @@
 
     private final Request request;
     private final Route route;
+    private final CallerConnection callerConnection;
     private final CompletableFuture<Answer> answer = new CompletableFuture<>();
     private final Set<String> triedServers = new HashSet<>();
     private final Set<Long> openAttempts = new HashSet<>();
@@ -27,9 +29,10 @@
     private boolean retryReserved;
     private boolean completed;
 
-    RequestContext(Request request, Route route) {
+    RequestContext(Request request, Route route, CallerConnection callerConnection) {
         this.request = request;
         this.route = route;
+        this.callerConnection = callerConnection;
     }
 
     Request request() {
@@ -40,6 +43,10 @@
         return route;
     }
 
+    CallerConnection callerConnection() {
+        return callerConnection;
+    }
+
     CompletableFuture<Answer> answer() {
         return answer;
     }
--- a/library/src/test/java/org/siskinramp/gateway/GatewaySimulation.java
+++ b/library/src/test/java/org/siskinramp/gateway/GatewaySimulation.java
@@ -8,6 +8,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.siskinramp.log.RequestMetricsRecorder;
 import org.siskinramp.request.Answer;
+import org.siskinramp.request.CallerConnection;
 import org.siskinramp.request.Request;
 import org.siskinramp.request.RequestKey;
 import org.siskinramp.request.RequestKind;
@@ -108,6 +109,11 @@
     }
 
     CompletableFuture<Answer> send(Gateway gateway, String content) {
+        return send(gateway, content, CallerConnection.ALWAYS_OPEN);
+    }
+
+    CompletableFuture<Answer> send(
+            Gateway gateway, String content, CallerConnection callerConnection) {
         long now = time.monotonicMilliseconds();
         return gateway.handle(
                 Request.builder()
@@ -120,7 +126,8 @@
                         .arrivedMilliseconds(now)
                         .deadlineMilliseconds(now + READ.timeLimitMilliseconds())
                         .build(),
-                READ);
+                READ,
+                callerConnection);
     }
 
     /** Restarts the servers that have been down for the given time. */
