Take a refusal without an identifier only on a new connection

Cause: a refusal without the request's identifier counted as the answer to whatever request was in flight. A faulty server sends such bytes behind an earlier answer of a kept connection. Change: an answer is attributed by the identifier alone, whatever its status. A refusal without one is taken only as the first answer of a connection, where no earlier answer can have left bytes.

--- a/daemon/src/main/java/org/siskinramp/daemon/backend/JettyBackendServerLink.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/backend/JettyBackendServerLink.java
@@ -134,7 +134,7 @@
                                 ? NEW_CONNECTION_IDLE_LIMIT_MILLISECONDS
                                 : options.idleLimitMilliseconds(request.kind().idempotent()))
                 .permission(attempt::isPermitted)
-                .answerCheck(answer -> protocol.isAnswerTo(attempt, answer))
+                .attribution(answer -> protocol.attribute(attempt, answer))
                 .reuseCheck(protocol::isConnectionReusableAfter)
                 .identityCheck(protocol.identityCheck(attempt.expectedBootIdentity()))
                 .closeDelimitedAllowed(protocol.isCloseDelimitedAllowed())
@@ -176,7 +176,7 @@
                             .deadlineMilliseconds(deadline)
                             .answerLimitBytes(PROBE_ANSWER_LIMIT_BYTES)
                             .idleLimitMilliseconds(idleLimitMilliseconds)
-                            .reuseCheck(protocol::isConnectionReusableAfter)
+                            .reuseCheck(protocol::isProbeAnswer)
                             .identityCheck(protocol.identityCheck(""))
                             .closeDelimitedAllowed(protocol.isCloseDelimitedAllowed())
                             .build();
--- a/daemon/src/main/java/org/siskinramp/daemon/backend/ServerProtocol.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/backend/ServerProtocol.java
@@ -5,6 +5,7 @@
 import org.siskinramp.attempt.AttemptAnswer;
 import org.siskinramp.attempt.LoadReport;
 import org.siskinramp.configuration.BackendServer;
+import org.siskinramp.daemon.exchange.AnswerAttribution;
 import org.siskinramp.daemon.exchange.ExchangeAnswer;
 import org.siskinramp.daemon.exchange.IdentityCheck;
 import org.siskinramp.request.Header;
@@ -22,19 +23,28 @@
     List<Header> requestHeaders(Attempt attempt, long remainingMilliseconds);
 
     /**
-     * Returns whether an answer belongs to an attempt.
+     * Returns how an answer relates to an attempt.
      *
      * @param attempt the attempt
      * @param answer the answer received on the connection of the attempt
-     * @return false if the answer belongs to another request or attempt
+     * @return whether the answer belongs to the attempt
      */
-    boolean isAnswerTo(Attempt attempt, ExchangeAnswer answer);
+    AnswerAttribution attribute(Attempt attempt, ExchangeAnswer answer);
+
+    /**
+     * Returns whether an answer to a probe is certainly that. If not, the connection is not used
+     * again, since the answer to the probe may follow.
+     *
+     * @param answer the answer received on the connection of a probe
+     * @return false if the answer may belong to another request
+     */
+    boolean isProbeAnswer(ExchangeAnswer answer);
 
     /**
      * Returns whether the connection may be used for another request after an answer. It must not
      * if the same answer, sent again by a faulty server, would count as the answer to that request.
      *
-     * @param answer the answer to an attempt or a probe
+     * @param answer the answer to an attempt
      * @return false if the connection must be closed
      */
     boolean isConnectionReusableAfter(ExchangeAnswer answer);
--- a/daemon/src/main/java/org/siskinramp/daemon/backend/StandardServerProtocol.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/backend/StandardServerProtocol.java
@@ -9,6 +9,7 @@
 import org.siskinramp.attempt.AttemptFailure;
 import org.siskinramp.attempt.LoadReport;
 import org.siskinramp.configuration.BackendServer;
+import org.siskinramp.daemon.exchange.AnswerAttribution;
 import org.siskinramp.daemon.exchange.ExchangeAnswer;
 import org.siskinramp.daemon.exchange.IdentityCheck;
 import org.siskinramp.request.Answer;
@@ -34,12 +35,20 @@
     }
 
     @Override
-    public boolean isAnswerTo(Attempt attempt, ExchangeAnswer answer) {
+    public AnswerAttribution attribute(Attempt attempt, ExchangeAnswer answer) {
         String requestId = attempt.request().key().requestId();
-        return answer.header(BackendServerHeaders.REQUEST_ID).filter(requestId::equals).isPresent()
-                && answer.header(BackendServerHeaders.ATTEMPT)
-                        .map(attemptNames.apply(attempt.number())::equals)
-                        .orElse(true);
+        boolean named =
+                answer.header(BackendServerHeaders.REQUEST_ID).filter(requestId::equals).isPresent()
+                        && answer.header(BackendServerHeaders.ATTEMPT)
+                                .map(attemptNames.apply(attempt.number())::equals)
+                                .orElse(true);
+        return named ? AnswerAttribution.PROVEN : AnswerAttribution.FOREIGN;
+    }
+
+    /** An answer that was left over would be detected by the next attempt. */
+    @Override
+    public boolean isProbeAnswer(ExchangeAnswer answer) {
+        return true;
     }
 
     /** Each answer names its request, so a repeated answer is detected. */
--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/Exchange.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/Exchange.java
@@ -287,19 +287,31 @@
         return new ExchangeAnswer(response.getStatus(), headers, body.toByteArray());
     }
 
+    /**
+     * Accepts an answer that names no request only if it is the first one of its connection, since
+     * then it cannot be left over from an earlier request.
+     */
     private void completeAnswer(ExchangeAnswer received) {
-        if (request.accepts(received)) {
-            request.identityCheck().recordIdentity(connection, received);
-            if (request.allowsReuseAfter(received)) {
-                connectionReleaser.accept(connection);
-            } else {
-                connection.close();
-            }
-            answer.complete(received);
+        boolean first = !connection.hasAnswered();
+        connection.markAnswered();
+        AnswerAttribution attribution = request.attribute(received);
+        if (attribution == AnswerAttribution.PROVEN
+                || (attribution == AnswerAttribution.UNPROVEN && first)) {
+            accept(received);
+        } else {
+            connection.close();
+            fail(AttemptFailure.ANSWER_CROSSED, "the answer may belong to another request");
+        }
+    }
+
+    private void accept(ExchangeAnswer received) {
+        request.identityCheck().recordIdentity(connection, received);
+        if (request.allowsReuseAfter(received)) {
+            connectionReleaser.accept(connection);
         } else {
             connection.close();
-            fail(AttemptFailure.ANSWER_CROSSED, "the answer belongs to another request");
         }
+        answer.complete(received);
     }
 
     private void failAfterSend(Throwable failure) {
--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/ExchangeRequest.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/ExchangeRequest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import java.util.function.LongFunction;
 import java.util.function.Predicate;
 import org.siskinramp.request.Header;
@@ -25,7 +26,7 @@
     private final long deadlineMilliseconds;
     private final long idleLimitMilliseconds;
     private final BooleanSupplier permission;
-    private final Predicate<ExchangeAnswer> answerCheck;
+    private final Function<ExchangeAnswer, AnswerAttribution> attribution;
     private final Predicate<ExchangeAnswer> reuseCheck;
     private final IdentityCheck identityCheck;
     private final boolean closeDelimitedAllowed;
@@ -40,7 +41,7 @@
         deadlineMilliseconds = builder.deadlineMilliseconds;
         idleLimitMilliseconds = builder.idleLimitMilliseconds;
         permission = Objects.requireNonNull(builder.permission, "permission");
-        answerCheck = Objects.requireNonNull(builder.answerCheck, "answerCheck");
+        attribution = Objects.requireNonNull(builder.attribution, "attribution");
         reuseCheck = Objects.requireNonNull(builder.reuseCheck, "reuseCheck");
         identityCheck = Objects.requireNonNull(builder.identityCheck, "identityCheck");
         closeDelimitedAllowed = builder.closeDelimitedAllowed;
@@ -94,8 +95,8 @@
         return permission.getAsBoolean();
     }
 
-    boolean accepts(ExchangeAnswer answer) {
-        return answerCheck.test(answer);
+    AnswerAttribution attribute(ExchangeAnswer answer) {
+        return attribution.apply(answer);
     }
 
     boolean allowsReuseAfter(ExchangeAnswer answer) {
@@ -134,7 +135,8 @@
         private long deadlineMilliseconds;
         private long idleLimitMilliseconds = 1000;
         private BooleanSupplier permission = () -> true;
-        private Predicate<ExchangeAnswer> answerCheck = answer -> true;
+        private Function<ExchangeAnswer, AnswerAttribution> attribution =
+                answer -> AnswerAttribution.PROVEN;
         private Predicate<ExchangeAnswer> reuseCheck = answer -> true;
         private IdentityCheck identityCheck = IdentityCheck.NONE;
         private int answerLimitBytes = Integer.MAX_VALUE;
@@ -233,13 +235,13 @@
         }
 
         /**
-         * Sets the check whether an answer belongs to this request.
+         * Sets how answers are attributed to this request.
          *
-         * @param value returns false for the answer to another request
+         * @param value tells how an answer relates to this request
          * @return this builder
          */
-        public Builder answerCheck(Predicate<ExchangeAnswer> value) {
-            answerCheck = value;
+        public Builder attribution(Function<ExchangeAnswer, AnswerAttribution> value) {
+            attribution = value;
             return this;
         }
 
--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/PooledConnection.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/PooledConnection.java
@@ -11,6 +11,7 @@
     private final long openedMilliseconds;
     private volatile long idleSinceMilliseconds;
     private volatile boolean reused;
+    private volatile boolean answered;
     private volatile Optional<String> identity = Optional.empty();
 
     PooledConnection(Connection connection, Clock clock) {
@@ -35,6 +36,15 @@
         return reused;
     }
 
+    /** Tells whether an answer was received on the connection. */
+    boolean hasAnswered() {
+        return answered;
+    }
+
+    void markAnswered() {
+        answered = true;
+    }
+
     boolean isOpen() {
         return !connection.isClosed();
     }
--- a/daemon/src/test/java/org/siskinramp/daemon/exchange/RepeatedAnswerTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/exchange/RepeatedAnswerTest.java
@@ -1,11 +1,15 @@
 package org.siskinramp.daemon.exchange;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.siskinramp.attempt.AttemptException;
+import org.siskinramp.attempt.AttemptFailure;
 import org.siskinramp.time.Clock;
 import org.siskinramp.time.SystemClock;
 
@@ -63,6 +67,29 @@
         assertEquals(200, send());
     }
 
+    /** On a new connection there is no earlier answer that the refusal could belong to. */
+    @Test
+    void aRefusalThatNamesNoRequestIsAcceptedOnANewConnectionOnly() throws Exception {
+        server = new ScriptedServer(request -> requests.incrementAndGet() == 2 ? ANSWER : REFUSAL);
+        assertEquals(503, sendUnattributed().answer().join().status());
+        server.close();
+        server = new ScriptedServer(request -> requests.incrementAndGet() == 2 ? ANSWER : REFUSAL);
+        assertEquals(200, send());
+        AttemptException failure =
+                AttemptException.from(
+                        assertThrows(CompletionException.class, sendUnattributed().answer()::join));
+        assertEquals(AttemptFailure.ANSWER_CROSSED, failure.failure());
+        assertEquals(1, server.connections());
+    }
+
+    private ExchangeCall sendUnattributed() {
+        return exchanger.send(
+                ExchangeRequest.to(server.address())
+                        .deadlineMilliseconds(clock.monotonicMilliseconds() + 5_000)
+                        .attribution(answer -> AnswerAttribution.UNPROVEN)
+                        .build());
+    }
+
     @Test
     void theConnectionOfAnOrdinaryAnswerIsReused() throws Exception {
         server = new ScriptedServer(request -> ANSWER);
