--- /dev/null
+++ b/library/src/main/java/org/siskinramp/address/package-info.java
@@ -0,0 +1,2 @@
+/** Checks network addresses. */
+package org.siskinramp.address;
