Release what a failed command or deferred action has reserved

Cause, second of two: an exception in one deferred action skipped the others, so searches, probe marks and slots were kept for good, and requests lost the timers that end them. The gateway logs and counts such failures (command_failed).

--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/Exchange.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/Exchange.java
@@ -108,6 +108,14 @@
                 String.valueOf(failure));
     }
 
+    /** Ends the exchange after an unexpected failure; a request that was sent may have run. */
+    void startFailed(RuntimeException failure) {
+        if (!failUnsent(AttemptFailure.CONNECTION_TIMED_OUT, String.valueOf(failure))) {
+            abort(AttemptFailure.CONNECTION_BROKEN);
+            fail(AttemptFailure.CONNECTION_BROKEN, String.valueOf(failure));
+        }
+    }
+
     /** Sends the request on a connection, unless the exchange has ended in the meantime. */
     void sendOn(PooledConnection candidate) {
         long leftMilliseconds = leftMilliseconds();
--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/HttpExchanger.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/HttpExchanger.java
@@ -131,8 +131,19 @@
                 connection -> releaseConnection(request.address(), connection));
     }
 
-    /** Sends the request of an exchange on an idle connection, or on a new one. */
+    /**
+     * Sends the request of an exchange on an idle connection, or on a new one. Whatever the client
+     * library throws ends the exchange, so that whoever waits for its answer is notified.
+     */
     void start(Exchange exchange) {
+        try {
+            sendOnAnyConnection(exchange);
+        } catch (RuntimeException failure) {
+            exchange.startFailed(failure);
+        }
+    }
+
+    private void sendOnAnyConnection(Exchange exchange) {
         ExchangeRequest request = exchange.request();
         pool.take(request.address(), request.idleLimitMilliseconds())
                 .ifPresentOrElse(exchange::sendOn, () -> openConnection(exchange));
--- a/library/src/main/java/org/siskinramp/gateway/AttemptDispatcher.java
+++ b/library/src/main/java/org/siskinramp/gateway/AttemptDispatcher.java
@@ -76,6 +76,7 @@
                         RequestDuration.WAITING,
                         context.route().isIdempotent(),
                         context.waitedMilliseconds(now));
+        environment.counters().add(Counter.ATTEMPTS);
         server.beginRequest();
         context.beginAttempt(number, server.server().name());
         inFlightAttempts.put(
@@ -87,7 +88,6 @@
                         now,
                         server.estimatedRequestsInProgress(),
                         server.serviceTimePercent()));
-        environment.counters().add(Counter.ATTEMPTS);
         Attempt attempt =
                 new Attempt(
                         number,
@@ -100,7 +100,8 @@
         deferred.add(
                 () ->
                         Futures.whenDone(
-                                environment.backendServerLink().dispatch(attempt),
+                                Futures.call(
+                                        () -> environment.backendServerLink().dispatch(attempt)),
                                 (answer, failure) ->
                                         lockedExecutor.run(
                                                 innerDeferred ->
--- a/library/src/main/java/org/siskinramp/gateway/Gateway.java
+++ b/library/src/main/java/org/siskinramp/gateway/Gateway.java
@@ -301,7 +301,7 @@
         runLocked(
                 deferred -> {
                     requestsInProgress++;
-                    pool(request.service()).submit(context, deferred);
+                    submit(context, deferred);
                 });
         Futures.whenDone(
                 context.answer(),
@@ -309,6 +309,15 @@
         return context.answer();
     }
 
+    private void submit(RequestContext context, DeferredActions deferred) {
+        try {
+            pool(context.request().service()).submit(context, deferred);
+        } catch (RuntimeException failure) {
+            deferred.add(() -> context.answer().completeExceptionally(failure));
+            throw failure;
+        }
+    }
+
     /** Cancels the request if its future was cancelled before the gateway completed it. */
     private void handleDone(RequestContext context, DeferredActions deferred) {
         requestsInProgress--;
@@ -422,8 +431,16 @@
         }
     }
 
+    /**
+     * Runs a command. Its failure is logged; callers need not know, since nothing is left behind.
+     */
     private void runLocked(Consumer<DeferredActions> command) {
-        DeferredActions.runLocked(lock, command);
+        try {
+            DeferredActions.runLocked(lock, command);
+        } catch (RuntimeException failure) {
+            environment.counters().add(Counter.INVARIANT_VIOLATIONS);
+            record(LogEvent.named("command_failed").with("cause", failure));
+        }
     }
 
     private void record(LogEvent event) {
--- a/library/src/main/java/org/siskinramp/gateway/ProbeSender.java
+++ b/library/src/main/java/org/siskinramp/gateway/ProbeSender.java
@@ -40,10 +40,15 @@
     void send(KnownServer server, Listener listener, DeferredActions deferred) {
         long sentAt = environment.clock().monotonicMilliseconds();
         environment.counters().add(Counter.PROBES);
+        server.beginProbe();
         deferred.add(
                 () ->
                         Futures.whenDone(
-                                environment.backendServerLink().probe(server.server()),
+                                Futures.call(
+                                        () ->
+                                                environment
+                                                        .backendServerLink()
+                                                        .probe(server.server())),
                                 (report, failure) ->
                                         lockedExecutor.run(
                                                 innerDeferred ->
@@ -63,6 +68,7 @@
             LoadReport report,
             Throwable failure,
             DeferredActions deferred) {
+        server.endProbe();
         if (failure == null) {
             announcements.handleAnswer(server, report, AnswerKind.PROBE, sentAt);
             listener.answered(report, deferred);
--- a/library/src/main/java/org/siskinramp/gateway/ServerSearch.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServerSearch.java
@@ -118,11 +118,35 @@
     }
 
     private void endSearch(RequestContext context) {
-        activeSearches--;
-        context.setSearching(false);
+        if (context.isSearching()) {
+            activeSearches--;
+            context.setSearching(false);
+        }
+    }
+
+    /** Runs a step of a search. If the step fails, the search ends, so that another can start. */
+    private void runStep(RequestContext context, Runnable step) {
+        if (!context.isSearching()) {
+            return;
+        }
+        try {
+            step.run();
+        } catch (RuntimeException failure) {
+            endSearch(context);
+            throw failure;
+        }
+    }
+
+    /** Returns an action that ends a search whose next step could not be scheduled. */
+    private Runnable endSearchLocked(RequestContext context) {
+        return () -> lockedExecutor.run(deferred -> endSearch(context));
     }
 
     private void runRound(RequestContext context, DeferredActions deferred) {
+        runStep(context, () -> searchFreshOrProbe(context, deferred));
+    }
+
+    private void searchFreshOrProbe(RequestContext context, DeferredActions deferred) {
         if (!context.isWaiting()) {
             endSearch(context);
             pool.processQueue(deferred);
@@ -161,7 +185,9 @@
                     deferred);
         }
         deferred.add(() -> scheduleRoundEnd(round, ROUND_TIMEOUT_MILLISECONDS));
-        deferred.add(() -> scheduleRoundEnd(round, MAXIMUM_ROUND_MILLISECONDS));
+        deferred.add(
+                () -> scheduleRoundEnd(round, MAXIMUM_ROUND_MILLISECONDS),
+                endSearchLocked(round.context));
     }
 
     private void scheduleRoundEnd(ProbeRound round, long delayMilliseconds) {
@@ -195,6 +221,11 @@
 
     private void finishRound(
             RequestContext context, long maximumReportAgeMilliseconds, DeferredActions deferred) {
+        runStep(context, () -> placeOrContinue(context, maximumReportAgeMilliseconds, deferred));
+    }
+
+    private void placeOrContinue(
+            RequestContext context, long maximumReportAgeMilliseconds, DeferredActions deferred) {
         if (!context.isWaiting()) {
             endSearch(context);
             pool.processQueue(deferred);
@@ -222,7 +253,8 @@
                                         () ->
                                                 lockedExecutor.run(
                                                         innerDeferred ->
-                                                                runRound(context, innerDeferred))));
+                                                                runRound(context, innerDeferred))),
+                endSearchLocked(context));
     }
 
     /** Chooses among the servers whose load report is recent enough. */
@@ -298,7 +330,6 @@
 
     private void sendProbe(
             KnownServer server, ProbeEndListener listener, DeferredActions deferred) {
-        server.beginProbe();
         probeSender.send(server, new LoadProbe(server, listener), deferred);
     }
 
@@ -331,7 +362,6 @@
         @Override
         public void answered(LoadReport report, DeferredActions deferred) {
             long now = now();
-            server.endProbe();
             server.recordAnswerLoadReport(report, now);
             server.recordHealthCheck(!report.leaving(), now);
             listener.probeEnded(true, deferred);
@@ -340,7 +370,6 @@
         @Override
         public void failed(AttemptException failure, DeferredActions deferred) {
             long now = now();
-            server.endProbe();
             server.recordLoadReport(failure.loadReport(), now);
             server.recordConnectionFailure(now);
             crashDetector.recordFailure(server, failure.failure(), deferred);
--- a/library/src/main/java/org/siskinramp/gateway/ServicePool.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServicePool.java
@@ -139,7 +139,8 @@
                 () ->
                         schedule(
                                 remainingMilliseconds,
-                                innerDeferred -> endAtDeadline(context, innerDeferred)));
+                                innerDeferred -> endAtDeadline(context, innerDeferred)),
+                () -> lockedExecutor.run(innerDeferred -> endAtDeadline(context, innerDeferred)));
         enqueue(context, latestStart, deferred);
         processQueue(deferred);
     }
--- a/library/src/main/java/org/siskinramp/result/Futures.java
+++ b/library/src/main/java/org/siskinramp/result/Futures.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.BiConsumer;
+import java.util.function.Supplier;
 
 /** Helper methods for futures. */
 public final class Futures {
@@ -22,6 +23,22 @@
         future.whenComplete(action);
     }
 
+    /**
+     * Calls a method that returns a future, and turns an exception that it throws instead into a
+     * failed future, so that whoever waits for the future is notified in any case.
+     *
+     * @param call the call
+     * @param <T> the type of the value
+     * @return the future of the call, or one that failed with the exception
+     */
+    public static <T> CompletableFuture<T> call(Supplier<CompletableFuture<T>> call) {
+        try {
+            return call.get();
+        } catch (RuntimeException failure) {
+            return CompletableFuture.failedFuture(failure);
+        }
+    }
+
     /**
      * Unwraps the cause of a failure that a future reports.
      *
--- a/library/src/test/java/org/siskinramp/gateway/GatewaySimulation.java
+++ b/library/src/test/java/org/siskinramp/gateway/GatewaySimulation.java
@@ -34,8 +34,8 @@
                     .shares(List.of(new ServiceShare("s", 1)))
                     .build();
 
-    private final VirtualTime time = new VirtualTime();
-    private final SimulatedServers servers = new SimulatedServers(time, 7);
+    private final VirtualTime time;
+    private final SimulatedServers servers;
     private final List<String> events = new ArrayList<>();
     private final Map<String, Long> crashedAt = new HashMap<>();
     private final List<Gateway> gateways = new ArrayList<>();
@@ -47,11 +47,21 @@
 
     /** Creates hosts that know each other's number and share the backend servers. */
     GatewaySimulation(int hosts) {
+        time = new VirtualTime();
+        servers = new SimulatedServers(time, 7);
         for (int host = 1; host <= hosts; host++) {
             gateways.add(newGateway(host, hosts));
         }
     }
 
+    /** Uses a given host, which has no routes yet. */
+    GatewaySimulation(VirtualTime time, SimulatedServers servers, Gateway gateway) {
+        this.time = time;
+        this.servers = servers;
+        setRoutes(gateway);
+        gateways.add(gateway);
+    }
+
     private Gateway newGateway(int seed, int hosts) {
         Gateway gateway =
                 new Gateway(
@@ -66,13 +76,17 @@
                                 RandomSource.XO_RO_SHI_RO_128_PP.create(seed)),
                         GatewayOptions.builder().build(),
                         hosts);
+        setRoutes(gateway);
+        return gateway;
+    }
+
+    private static void setRoutes(Gateway gateway) {
         gateway.updateRoutes(
                 new RouteTable(
                         1,
                         List.of(READ),
                         List.of(new RoutedService("s", "/health", 100, 5)),
                         new CallerLimits(1_000, 1_000, 1_000, 1_000)));
-        return gateway;
     }
 
     VirtualTime time() {
