Hold a body once, and no longer than its request

Report of other operators: a machine that kept bytes without end ran out of memory. Causes: a body was held up to three times while it was read; the timers of a request kept its body and its answer until its deadline, long after the memory was given back in the books; after an OutOfMemoryError the body never ended, so that the reservation was never released; the JDK copied the whole of a body outside the heap for each write. Change: BodyBuffer reserves before it allocates, copies included; a completed request drops body and answer; an Error ends the request, is logged and releases; bodies are sent in pieces of 64 KB; a refused body is discarded while the refusal is written, so that the caller can read it; such a refusal bears Retry-After.

--- a/daemon/src/main/java/org/siskinramp/daemon/caller/AnswerWriter.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/AnswerWriter.java
@@ -5,6 +5,7 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.siskinramp.daemon.buffer.Slices;
 import org.siskinramp.request.Answer;
 import org.siskinramp.result.ResultException;
 
@@ -22,7 +23,27 @@
         HttpFields.Mutable headers = response.getHeaders();
         answer.headers().forEach(header -> headers.add(header.name(), header.value()));
         protocol.addHeaders(answer, requestId, headers);
-        response.write(true, ByteBuffer.wrap(answer.body()), callback);
+        writeBody(answer.body(), response, callback);
+    }
+
+    private static void writeBody(byte[] body, Response response, Callback callback) {
+        ByteBuffer[] slices = Slices.of(body);
+        if (slices.length > 1) {
+            response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
+        }
+        writeFrom(0, slices, response, callback);
+    }
+
+    private static void writeFrom(
+            int index, ByteBuffer[] slices, Response response, Callback callback) {
+        boolean last = index == slices.length - 1;
+        Callback next =
+                last
+                        ? callback
+                        : Callback.from(
+                                () -> writeFrom(index + 1, slices, response, callback),
+                                callback::failed);
+        response.write(last, slices[index], next);
     }
 
     /** Writes a refusal; {@code requestId} is null if the request has no identifier. */
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/BodyMemoryBudget.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/BodyMemoryBudget.java
@@ -1,12 +1,16 @@
 package org.siskinramp.daemon.caller;
 
 import java.util.concurrent.atomic.AtomicLong;
+import org.siskinramp.daemon.buffer.MemoryReservation;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.result.ResultException;
 
 /** Limits the total memory, in bytes, of the bodies of all requests in progress. */
 final class BodyMemoryBudget {
 
+    /** Bodies are held as long as their requests are in progress, mostly less than this. */
+    static final long RETRY_DELAY_MILLISECONDS = 500;
+
     private final long limitBytes;
     private final AtomicLong reservedBytes = new AtomicLong();
 
@@ -34,12 +38,14 @@
         if (reservedBytes.addAndGet(bytes) > limitBytes) {
             reservedBytes.addAndGet(-bytes);
             throw new ResultException(
-                    ResultCode.TOO_MANY_REQUESTS, "bodies_limit_bytes=" + limitBytes);
+                    ResultCode.TOO_MANY_REQUESTS,
+                    "bodies_limit_bytes=" + limitBytes + " reserved_bytes=" + reservedBytes(),
+                    RETRY_DELAY_MILLISECONDS);
         }
     }
 
     /** The memory that is reserved for the body of one request. */
-    final class Reservation {
+    final class Reservation implements MemoryReservation {
 
         private long bytes;
 
@@ -55,6 +61,16 @@
             }
         }
 
+        @Override
+        public synchronized void resizeTo(long wantedBytes) {
+            if (wantedBytes < bytes) {
+                reservedBytes.addAndGet(wantedBytes - bytes);
+                bytes = wantedBytes;
+            } else {
+                growTo(wantedBytes);
+            }
+        }
+
         synchronized void release() {
             reservedBytes.addAndGet(-bytes);
             bytes = 0;
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
@@ -10,6 +10,7 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.siskinramp.daemon.buffer.BodyBuffer;
 import org.siskinramp.log.Counter;
 import org.siskinramp.log.Counters;
 import org.siskinramp.log.EventLog;
@@ -120,7 +121,9 @@
             return;
         }
         Callback releasing = Callback.from(callback, reservation::release);
-        RequestBodyReader reader = new RequestBodyReader(request, options, clock, reservation);
+        RequestBodyReader reader =
+                new RequestBodyReader(
+                        request, options, clock, new BodyBuffer(reservation, request.getLength()));
         request.addIdleTimeoutListener(timeout -> !reader.body().isDone());
         Futures.whenDone(
                 reader.body(),
@@ -205,11 +208,15 @@
         response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
     }
 
-    private static CompletableFuture<Answer> startProcessing(
+    private CompletableFuture<Answer> startProcessing(
             AcceptedRequest accepted, byte[] body, CallerConnection connection) {
         try {
             return accepted.process(body, connection);
-        } catch (RuntimeException failure) {
+        } catch (RuntimeException | Error failure) {
+            eventLog.record(
+                    LogEvent.named("request_failed")
+                            .with("request", accepted.requestId())
+                            .with("cause", failure));
             return CompletableFuture.failedFuture(failure);
         }
     }
@@ -242,7 +249,12 @@
                         .with("method", request.getMethod())
                         .with("path", request.getHttpURI().getPath())
                         .with("code", refusal.code().number())
-                        .with("reason", refusal.code()));
-        writer.write(refusal, requestId, response, callback);
+                        .with("reason", refusal.code())
+                        .with("detail", refusal.getMessage()));
+        Callback draining =
+                Callback.from(
+                        () -> new RequestBodyDrain(request, clock, callback).run(),
+                        callback::failed);
+        writer.write(refusal, requestId, response, draining);
     }
 }
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/RequestBodyReader.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/RequestBodyReader.java
@@ -1,10 +1,9 @@
 package org.siskinramp.daemon.caller;
 
-import java.io.ByteArrayOutputStream;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.io.Content;
-import org.eclipse.jetty.util.BufferUtil;
+import org.siskinramp.daemon.buffer.BodyBuffer;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.result.ResultException;
 import org.siskinramp.time.Clock;
@@ -19,21 +18,17 @@
     private final CallerServerOptions options;
     private final Clock clock;
     private final long deadlineMilliseconds;
-    private final BodyMemoryBudget.Reservation reservation;
-    private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    private final BodyBuffer buffer;
     private final CompletableFuture<byte[]> body = new CompletableFuture<>();
 
     RequestBodyReader(
-            Content.Source source,
-            CallerServerOptions options,
-            Clock clock,
-            BodyMemoryBudget.Reservation reservation) {
+            Content.Source source, CallerServerOptions options, Clock clock, BodyBuffer buffer) {
         this.source = source;
         this.options = options;
         this.clock = clock;
         this.deadlineMilliseconds =
                 clock.monotonicMilliseconds() + options.bodyTimeLimitMilliseconds();
-        this.reservation = reservation;
+        this.buffer = buffer;
     }
 
     /** Returns the complete body once it is read; fails with a {@link ResultException}. */
@@ -61,19 +56,25 @@
     private void append(Content.Chunk chunk) {
         try {
             checkLimits(chunk.remaining());
-            bytes.writeBytes(BufferUtil.toArray(chunk.getByteBuffer()));
+            buffer.add(chunk.getByteBuffer());
             if (chunk.isLast()) {
-                body.complete(bytes.toByteArray());
+                body.complete(buffer.toBytes());
             }
         } catch (ResultException refusal) {
             fail(refusal);
+        } catch (OutOfMemoryError failure) {
+            fail(
+                    new ResultException(
+                            ResultCode.TOO_MANY_REQUESTS,
+                            String.valueOf(failure),
+                            BodyMemoryBudget.RETRY_DELAY_MILLISECONDS));
         } finally {
             chunk.release();
         }
     }
 
     private void checkLimits(int chunkBytes) {
-        if (bytes.size() + chunkBytes > options.bodyLimitBytes()) {
+        if (buffer.size() + chunkBytes > options.bodyLimitBytes()) {
             throw new ResultException(
                     ResultCode.BODY_TOO_LARGE, "limit_bytes=" + options.bodyLimitBytes());
         }
@@ -82,7 +83,6 @@
                     ResultCode.REQUEST_INCOMPLETE,
                     "limit_ms=" + options.bodyTimeLimitMilliseconds());
         }
-        reservation.growTo(bytes.size() + chunkBytes);
     }
 
     private static ResultException refusalOf(Throwable failure) {
@@ -94,7 +94,6 @@
     }
 
     private void fail(ResultException refusal) {
-        source.fail(refusal);
         body.completeExceptionally(refusal);
     }
 }
--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/AnswerBufferLimiter.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/AnswerBufferLimiter.java
@@ -25,11 +25,14 @@
         void abortForMemory();
     }
 
-    /** Adds bytes of an owner. If the total exceeds the limit, aborts the owner with most bytes. */
-    void reserve(BufferOwner owner, int bytes) {
+    /**
+     * Sets the bytes of an owner. If the total exceeds the limit, aborts the one with most bytes.
+     */
+    void resizeTo(BufferOwner owner, long bytes) {
         BufferOwner largest = null;
         synchronized (this) {
-            bytesByOwner.merge(owner, (long) bytes, Long::sum);
+            release(owner);
+            bytesByOwner.put(owner, bytes);
             totalBytes += bytes;
             if (totalBytes > limitBytes) {
                 largest = largest();
--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/Exchange.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/Exchange.java
@@ -1,6 +1,5 @@
 package org.siskinramp.daemon.exchange;
 
-import java.io.ByteArrayOutputStream;
 import java.net.ConnectException;
 import java.nio.ByteBuffer;
 import java.util.List;
@@ -9,7 +8,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
-import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.ByteBufferRequestContent;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
@@ -17,8 +16,12 @@
 import org.siskinramp.attempt.AttemptException;
 import org.siskinramp.attempt.AttemptFailure;
 import org.siskinramp.attempt.LoadReport;
+import org.siskinramp.daemon.buffer.BodyBuffer;
+import org.siskinramp.daemon.buffer.Slices;
 import org.siskinramp.request.Header;
 import org.siskinramp.result.Futures;
+import org.siskinramp.result.ResultCode;
+import org.siskinramp.result.ResultException;
 import org.siskinramp.time.Clock;
 
 /**
@@ -34,6 +37,7 @@
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
     private static final int LOAD_UNKNOWN = -1;
+    private static final long LENGTH_UNKNOWN = -1;
 
     /**
      * If the deadline passes while an answer has been arriving for at least this long, and more
@@ -49,7 +53,7 @@
     private final HttpExchanger exchanger;
     private final Consumer<PooledConnection> connectionReleaser;
     private final CompletableFuture<ExchangeAnswer> answer = new CompletableFuture<>();
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private BodyBuffer body = newBody(LENGTH_UNKNOWN);
     private volatile Request jettyRequest;
     private volatile PooledConnection connection;
     private final AtomicReference<AttemptFailure> abortReason = new AtomicReference<>();
@@ -193,7 +197,7 @@
         prepared.headers(
                 fields -> headers.forEach(header -> fields.add(header.name(), header.value())));
         if (request.hasBody()) {
-            prepared.body(new BytesRequestContent((String) null, request.body()));
+            prepared.body(new ByteBufferRequestContent((String) null, Slices.of(request.body())));
         }
         prepared.idleTimeout(0, TimeUnit.MILLISECONDS);
         prepared.timeout(leftMilliseconds, TimeUnit.MILLISECONDS);
@@ -235,9 +239,23 @@
 
     @Override
     public void onHeaders(Response response) {
-        if (response.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH) > answerLimitBytes()
-                && !request.method().equals("HEAD")) {
+        long length = response.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH);
+        if (length > answerLimitBytes() && !request.method().equals("HEAD")) {
             abort(AttemptFailure.ANSWER_TOO_LARGE);
+        } else {
+            body = newBody(length);
+        }
+    }
+
+    private BodyBuffer newBody(long length) {
+        return new BodyBuffer(this::reserve, length);
+    }
+
+    private void reserve(long bytes) {
+        exchanger.answerBufferLimiter().resizeTo(this, bytes);
+        if (abortReason.get() != null) {
+            throw new ResultException(
+                    ResultCode.BACKEND_SERVER_FAILED, "the answers exceed their total limit");
         }
     }
 
@@ -251,10 +269,11 @@
         if (answer.isDone() || abortReason.get() != null) {
             return;
         }
-        exchanger.answerBufferLimiter().reserve(this, content.remaining());
-        byte[] bytes = new byte[content.remaining()];
-        content.get(bytes);
-        body.writeBytes(bytes);
+        try {
+            body.add(content);
+        } catch (ResultException aborted) {
+            exchanger.answerBufferLimiter().release(this);
+        }
     }
 
     @Override
@@ -292,7 +311,7 @@
                 response.getHeaders().stream()
                         .map(field -> new Header(field.getName(), field.getValue()))
                         .toList();
-        return new ExchangeAnswer(response.getStatus(), headers, body.toByteArray());
+        return new ExchangeAnswer(response.getStatus(), headers, body.toBytes());
     }
 
     /**
--- a/daemon/src/test/java/org/siskinramp/daemon/exchange/AnswerBufferLimiterTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/exchange/AnswerBufferLimiterTest.java
@@ -20,9 +20,9 @@
     void abortsTheLargestAnswerWhenTheTotalExceedsTheLimit() {
         AnswerBufferLimiter.BufferOwner endless = owner("endless");
         AnswerBufferLimiter.BufferOwner usual = owner("usual");
-        limiter.reserve(endless, 600);
-        limiter.reserve(usual, 300);
-        limiter.reserve(usual, 200);
+        limiter.resizeTo(endless, 600);
+        limiter.resizeTo(usual, 300);
+        limiter.resizeTo(usual, 500);
         assertEquals(List.of("endless"), aborted);
         assertEquals(500, limiter.totalBytes());
     }
@@ -33,9 +33,9 @@
         for (int number = 0; number < 50; number++) {
             owners.add(owner("owner-" + number));
         }
-        for (int part = 0; part < 100; part++) {
+        for (int part = 1; part <= 100; part++) {
             for (AnswerBufferLimiter.BufferOwner owner : owners) {
-                limiter.reserve(owner, 16);
+                limiter.resizeTo(owner, 16L * part);
                 assertTrue(limiter.totalBytes() <= 1_000);
             }
         }
@@ -44,9 +44,9 @@
     @Test
     void aReleasedAnswerIsNoLongerCounted() {
         AnswerBufferLimiter.BufferOwner first = owner("first");
-        limiter.reserve(first, 900);
+        limiter.resizeTo(first, 900);
         limiter.release(first);
-        limiter.reserve(owner("second"), 900);
+        limiter.resizeTo(owner("second"), 900);
         assertEquals(List.of(), aborted);
     }
 }
--- a/library/src/main/java/org/siskinramp/gateway/Gateway.java
+++ b/library/src/main/java/org/siskinramp/gateway/Gateway.java
@@ -297,23 +297,24 @@
     public CompletableFuture<Answer> handle(
             Request request, Route route, CallerConnection callerConnection) {
         RequestContext context = new RequestContext(request, route, callerConnection);
+        CompletableFuture<Answer> answer = context.answer();
         environment.counters().add(Counter.REQUESTS);
         runLocked(
                 deferred -> {
                     requestsInProgress++;
-                    submit(context, deferred);
+                    submit(context, answer, deferred);
                 });
         Futures.whenDone(
-                context.answer(),
-                (answer, failure) -> runLocked(deferred -> handleDone(context, deferred)));
-        return context.answer();
+                answer, (ended, failure) -> runLocked(deferred -> handleDone(context, deferred)));
+        return answer;
     }
 
-    private void submit(RequestContext context, DeferredActions deferred) {
+    private void submit(
+            RequestContext context, CompletableFuture<Answer> answer, DeferredActions deferred) {
         try {
             pool(context.request().service()).submit(context, deferred);
-        } catch (RuntimeException failure) {
-            deferred.add(() -> context.answer().completeExceptionally(failure));
+        } catch (RuntimeException | Error failure) {
+            deferred.add(() -> answer.completeExceptionally(failure));
             throw failure;
         }
     }
@@ -437,9 +438,9 @@
     private void runLocked(Consumer<DeferredActions> command) {
         try {
             DeferredActions.runLocked(lock, command);
-        } catch (RuntimeException failure) {
+        } catch (IllegalStateException failure) {
             environment.counters().add(Counter.INVARIANT_VIOLATIONS);
-            record(LogEvent.named("command_failed").with("cause", failure));
+            record(LogEvent.named("command_failed").with("cause", failure.getCause()));
         }
     }
 
--- a/library/src/main/java/org/siskinramp/gateway/RequestCompletion.java
+++ b/library/src/main/java/org/siskinramp/gateway/RequestCompletion.java
@@ -27,11 +27,18 @@
     }
 
     void answer(RequestContext context, Answer answer, DeferredActions deferred) {
-        if (context.tryComplete()) {
-            environment.counters().add(Counter.REQUESTS_ANSWERED);
-            recordEnd("request_answered", context, answer.code(), answer.status(), "server");
-            deferred.add(() -> context.answer().complete(answer));
-        }
+        context.tryComplete()
+                .ifPresent(
+                        future -> {
+                            deferred.add(() -> future.complete(answer));
+                            environment.counters().add(Counter.REQUESTS_ANSWERED);
+                            recordEnd(
+                                    "request_answered",
+                                    context,
+                                    answer.code(),
+                                    answer.status(),
+                                    "server");
+                        });
     }
 
     /** Refuses a request that certainly did not run, with a retry-after delay. */
@@ -75,25 +82,31 @@
             String reason,
             long retryAfterMilliseconds,
             DeferredActions deferred) {
-        if (context.tryComplete()) {
-            environment.counters().add(Counter.REQUESTS_REFUSED);
-            recordEnd("request_refused", context, code, REFUSED_STATUS, reason);
-            fail(context, new ResultException(code, reason, retryAfterMilliseconds), deferred);
-        }
+        ResultException refusal = new ResultException(code, reason, retryAfterMilliseconds);
+        context.tryComplete()
+                .ifPresent(
+                        future -> {
+                            deferred.add(() -> future.completeExceptionally(refusal));
+                            environment.counters().add(Counter.REQUESTS_REFUSED);
+                            recordEnd("request_refused", context, code, REFUSED_STATUS, reason);
+                        });
     }
 
     /** Fails a request that may have run. */
     void fail(RequestContext context, ResultCode code, String reason, DeferredActions deferred) {
-        if (context.tryComplete()) {
-            environment.counters().add(Counter.REQUESTS_FAILED);
-            recordEnd("request_failed", context, code, code.httpStatus(), reason);
-            fail(context, new ResultException(code, reason), deferred);
-        }
+        ResultException failure = new ResultException(code, reason);
+        context.tryComplete()
+                .ifPresent(
+                        future -> {
+                            deferred.add(() -> future.completeExceptionally(failure));
+                            environment.counters().add(Counter.REQUESTS_FAILED);
+                            recordEnd("request_failed", context, code, code.httpStatus(), reason);
+                        });
     }
 
     /** Cancels a request; returns false if it was completed before. */
     boolean cancel(RequestContext context) {
-        if (!context.tryComplete()) {
+        if (context.tryComplete().isEmpty()) {
             return false;
         }
         long now = environment.clock().monotonicMilliseconds();
@@ -110,11 +123,6 @@
         return true;
     }
 
-    private static void fail(
-            RequestContext context, ResultException failure, DeferredActions deferred) {
-        deferred.add(() -> context.answer().completeExceptionally(failure));
-    }
-
     private void recordEnd(
             String event, RequestContext context, ResultCode code, int status, String reason) {
         long now = environment.clock().monotonicMilliseconds();
--- a/library/src/main/java/org/siskinramp/gateway/RequestContext.java
+++ b/library/src/main/java/org/siskinramp/gateway/RequestContext.java
@@ -1,6 +1,7 @@
 package org.siskinramp.gateway;
 
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.siskinramp.request.Answer;
@@ -11,10 +12,10 @@
 /** State of one request from arrival to completion. Guarded by the lock of the gateway. */
 final class RequestContext {
 
-    private final Request request;
+    private Request request;
     private final Route route;
     private final CallerConnection callerConnection;
-    private final CompletableFuture<Answer> answer = new CompletableFuture<>();
+    private CompletableFuture<Answer> answer = new CompletableFuture<>();
     private final Set<String> triedServers = new HashSet<>();
     private final Set<Long> openAttempts = new HashSet<>();
     private int sendCount;
@@ -47,6 +48,7 @@
         return callerConnection;
     }
 
+    /** Returns the future of the answer until the request is completed. */
     CompletableFuture<Answer> answer() {
         return answer;
     }
@@ -153,12 +155,22 @@
         return retryReserved;
     }
 
-    /** Marks the request as completed; returns false if it already was. */
-    boolean tryComplete() {
-        boolean first = !completed;
+    /**
+     * Marks the request as completed and drops its body and its future, since timers refer to this
+     * object until the deadline.
+     *
+     * @return the future to complete; empty if the request was already completed
+     */
+    Optional<CompletableFuture<Answer>> tryComplete() {
+        if (completed) {
+            return Optional.empty();
+        }
         completed = true;
         waiting = false;
-        return first;
+        CompletableFuture<Answer> future = answer;
+        answer = null;
+        request = request.withoutBody();
+        return Optional.of(future);
     }
 
     boolean isCompleted() {
--- a/library/src/main/java/org/siskinramp/gateway/ServerSearch.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServerSearch.java
@@ -131,7 +131,7 @@
         }
         try {
             step.run();
-        } catch (RuntimeException failure) {
+        } catch (RuntimeException | Error failure) {
             endSearch(context);
             throw failure;
         }
--- a/library/src/main/java/org/siskinramp/request/Request.java
+++ b/library/src/main/java/org/siskinramp/request/Request.java
@@ -142,6 +142,25 @@
         return deadlineMilliseconds;
     }
 
+    /**
+     * Returns the same request without its body, for those who need to know only what it was.
+     *
+     * @return a request with an empty body
+     */
+    public Request withoutBody() {
+        return builder()
+                .key(key)
+                .service(service)
+                .kind(kind)
+                .method(method)
+                .target(target)
+                .headers(headers)
+                .contentHash(contentHash)
+                .arrivedMilliseconds(arrivedMilliseconds)
+                .deadlineMilliseconds(deadlineMilliseconds)
+                .build();
+    }
+
     /** Collects the parts of a request. */
     public static final class Builder {
 
--- a/library/src/main/java/org/siskinramp/result/Futures.java
+++ b/library/src/main/java/org/siskinramp/result/Futures.java
@@ -34,7 +34,7 @@
     public static <T> CompletableFuture<T> call(Supplier<CompletableFuture<T>> call) {
         try {
             return call.get();
-        } catch (RuntimeException failure) {
+        } catch (RuntimeException | Error failure) {
             return CompletableFuture.failedFuture(failure);
         }
     }
--- a/library/src/main/java/org/siskinramp/routing/DeferredActions.java
+++ b/library/src/main/java/org/siskinramp/routing/DeferredActions.java
@@ -30,7 +30,7 @@
                 () -> {
                     try {
                         action.run();
-                    } catch (RuntimeException failure) {
+                    } catch (RuntimeException | Error failure) {
                         onFailure.run();
                         throw failure;
                     }
@@ -44,8 +44,8 @@
      *
      * @param lock the lock
      * @param command the command to run under the lock
-     * @throws RuntimeException the first exception of the command and the actions, with the others
-     *     suppressed
+     * @throws IllegalStateException if the command or an action has thrown; the first exception is
+     *     its cause, the others are suppressed
      */
     public static void runLocked(Lock lock, Consumer<DeferredActions> command) {
         DeferredActions deferred = new DeferredActions();
@@ -63,12 +63,12 @@
     /** Collects the exceptions of several tasks. */
     private static final class Failures {
 
-        private RuntimeException first;
+        private Throwable first;
 
         private void collectFrom(Runnable task) {
             try {
                 task.run();
-            } catch (RuntimeException failure) {
+            } catch (RuntimeException | Error failure) {
                 if (first == null) {
                     first = failure;
                 } else if (first != failure) {
@@ -79,7 +79,7 @@
 
         private void throwIfAny() {
             if (first != null) {
-                throw first;
+                throw new IllegalStateException("command failed", first);
             }
         }
     }
