Close the connection of a caller that does not read its answer

Cause: idle time-outs were ignored from the end of the request's body on. Change: they count again once the answer is being written, so that a connection without progress for the idle timeout is closed. Test: CallerServerTest, which fails on the code before.

--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
@@ -124,12 +124,13 @@
         RequestBodyReader reader =
                 new RequestBodyReader(
                         request, options, clock, new BodyBuffer(reservation, request.getLength()));
-        request.addIdleTimeoutListener(timeout -> !reader.body().isDone());
+        AtomicBoolean answering = new AtomicBoolean();
+        request.addIdleTimeoutListener(timeout -> !reader.body().isDone() || answering.get());
         Futures.whenDone(
                 reader.body(),
                 (body, failure) -> {
                     if (failure == null) {
-                        answer(accepted, body, request, response, releasing);
+                        answer(accepted, body, request, response, answering, releasing);
                     } else {
                         refuse(ResultException.from(failure), request, response, releasing);
                     }
@@ -159,6 +160,7 @@
             byte[] body,
             Request request,
             Response response,
+            AtomicBoolean answering,
             Callback callback) {
         long readMilliseconds = clock.monotonicMilliseconds();
         CloseDetectingEndPoint caller = callerOf(request);
@@ -185,6 +187,7 @@
                 answered,
                 (answer, failure) -> {
                     caller.clearCloseListener();
+                    answering.set(true);
                     if (caller.hasDiscardedInput()) {
                         closeAfterAnswer(response);
                     }
--- a/daemon/src/test/java/org/siskinramp/daemon/caller/CallerServerTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/caller/CallerServerTest.java
@@ -260,6 +260,20 @@
         assertTrue(send(get("/dispatch/plan", "Caller: c\r\n")).endsWith("done"));
     }
 
+    @Test
+    void closesTheConnectionOfACallerThatDoesNotReadItsAnswer() throws Exception {
+        answer.complete(new Answer(ResultCode.ANSWERED, 200, List.of(), new byte[50_000_000]));
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
+            socket.getOutputStream().write(bytes(get("/dispatch/plan", "Caller: c\r\n")));
+            awaitRequestInProgress();
+            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+            while (server.requestsInProgress() > 0 && System.nanoTime() < end) {
+                Thread.sleep(5);
+            }
+            assertEquals(0, server.requestsInProgress());
+        }
+    }
+
     private void awaitRequestInProgress() throws InterruptedException {
         while (lastRequest.get() == null) {
             Thread.sleep(5);
