Take back the change for callers that do not read their answer

Jetty fails a pending write at the idle timeout whatever the listener says, so such a connection was closed before too; the review had only read the code. The test stays, as the stated behaviour. The change is reverted.

--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
@@ -124,13 +124,12 @@
         RequestBodyReader reader =
                 new RequestBodyReader(
                         request, options, clock, new BodyBuffer(reservation, request.getLength()));
-        AtomicBoolean answering = new AtomicBoolean();
-        request.addIdleTimeoutListener(timeout -> !reader.body().isDone() || answering.get());
+        request.addIdleTimeoutListener(timeout -> !reader.body().isDone());
         Futures.whenDone(
                 reader.body(),
                 (body, failure) -> {
                     if (failure == null) {
-                        answer(accepted, body, request, response, answering, releasing);
+                        answer(accepted, body, request, response, releasing);
                     } else {
                         refuse(ResultException.from(failure), request, response, releasing);
                     }
@@ -160,7 +159,6 @@
             byte[] body,
             Request request,
             Response response,
-            AtomicBoolean answering,
             Callback callback) {
         long readMilliseconds = clock.monotonicMilliseconds();
         CloseDetectingEndPoint caller = callerOf(request);
@@ -187,7 +185,6 @@
                 answered,
                 (answer, failure) -> {
                     caller.clearCloseListener();
-                    answering.set(true);
                     if (caller.hasDiscardedInput()) {
                         closeAfterAnswer(response);
                     }
