Relay answers with heads of up to 32 KB

Cause: heads from servers may have 32 KB, heads to callers had 8 KB. Test: CallerServerTest with a header of 30 kB; it got 500 on the code before.

--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerServer.java
@@ -33,6 +33,9 @@
  */
 public final class CallerServer {
 
+    /** Room for the largest head that is accepted from a backend server, and headers of our own. */
+    private static final int ANSWER_HEAD_LIMIT_BYTES = 40 * 1024;
+
     private final CallerServerOptions options;
     private final EventLog eventLog;
     private final CallerHandler handler;
@@ -105,6 +108,7 @@
     private HttpConfiguration newConfiguration() {
         HttpConfiguration http = new HttpConfiguration();
         http.setRequestHeaderSize(options.headerLimitBytes());
+        http.setMaxResponseHeaderSize(ANSWER_HEAD_LIMIT_BYTES);
         http.setSendServerVersion(false);
         http.setSendDateHeader(false);
         http.setUriCompliance(UriCompliance.UNSAFE);
--- a/daemon/src/test/java/org/siskinramp/daemon/caller/CallerServerTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/caller/CallerServerTest.java
@@ -260,6 +260,21 @@
         assertTrue(send(get("/dispatch/plan", "Caller: c\r\n")).endsWith("done"));
     }
 
+    /** A server's head may be as large as the exchange accepts. */
+    @Test
+    void relaysAnAnswerWithALargeHead() throws Exception {
+        String value = "x".repeat(30_000);
+        answer.complete(
+                new Answer(
+                        ResultCode.ANSWERED,
+                        200,
+                        List.of(new Header("X-Large", value)),
+                        new byte[0]));
+        String received = send(get("/dispatch/plan", "Caller: c\r\n"));
+        assertTrue(received.startsWith("HTTP/1.1 200 "), received);
+        assertTrue(received.contains("\r\nX-Large: " + value + "\r\n"), received);
+    }
+
     @Test
     void closesTheConnectionOfACallerThatDoesNotReadItsAnswer() throws Exception {
         answer.complete(new Answer(ResultCode.ANSWERED, 200, List.of(), new byte[50_000_000]));
