Close the connection of a departed caller without an answer

Cause: the request was cancelled, as for any caller that leaves, and the HTTP library turned that into an error page. Test: DepartedCallerTest, which got 500 on the code before.

--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
@@ -166,6 +166,7 @@
             counters.add(Counter.CALLERS_LEFT);
             EofException closed = new EofException("caller closed the connection");
             logIfUndelivered(accepted, "reading", readMilliseconds, closed);
+            caller.close();
             callback.failed(closed);
             return;
         }
@@ -191,6 +192,7 @@
                     if (failure == null) {
                         writer.write(answer, accepted.requestId(), response, logging);
                     } else if (answered.isCancelled()) {
+                        caller.close();
                         logging.failed(new EofException("caller closed the connection"));
                     } else {
                         ResultException result = ResultException.from(failure);
--- a/daemon/src/test/java/org/siskinramp/daemon/caller/DepartedCallerTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/caller/DepartedCallerTest.java
@@ -221,6 +221,18 @@
         await(() -> processed.get(0).answer.isCancelled());
     }
 
+    /** A half-close counts as leaving, as in other proxies; there is no answer of our own. */
+    @Test
+    void aCallerThatClosesOnlyItsSendingSideGetsNoAnswer() throws Exception {
+        try (Socket socket = connect()) {
+            write(socket, get("/first", 0));
+            await(() -> processed.size() == 1);
+            socket.shutdownOutput();
+            assertEquals("", readAnswer(socket, "/first"));
+        }
+        assertTrue(processed.get(0).answer.isCancelled());
+    }
+
     /**
      * However the request arrives, the close is noticed by an event alone. In the requests, {@code
      * ;} is the end of a line and {@code |} that of a packet.
