Keep a SIGHUP that arrives while the process starts

Change: the handler is installed first and keeps the signal until there is an action. The start of the Java runtime before that stays uncovered.

--- a/daemon/src/main/java/org/siskinramp/daemon/gateway/HangUpSignal.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/gateway/HangUpSignal.java
@@ -10,15 +10,18 @@
 
     private static final String NAME = "HUP";
 
+    private static final Object STATE_LOCK = new Object();
+    private static Runnable action;
+    private static boolean pending;
+
     private HangUpSignal() {}
 
     /**
-     * Sets the action that each SIGHUP runs.
+     * Handles the signal from now on. A signal that arrives before {@link #setAction} is kept.
      *
-     * @param action the action
      * @throws IllegalStateException if this Java runtime cannot handle signals
      */
-    public static void handle(Runnable action) {
+    public static void install() {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -27,7 +30,7 @@
                             HangUpSignal.class.getClassLoader(),
                             new Class<?>[] {handler},
                             (proxy, method, arguments) -> {
-                                action.run();
+                                receive();
                                 return null;
                             });
             signal.getMethod("handle", signal, handler)
@@ -36,4 +39,32 @@
             throw new IllegalStateException("signals cannot be handled", failure);
         }
     }
+
+    /**
+     * Sets the action that each signal runs, and runs it at once if one has arrived before.
+     *
+     * @param value the action
+     */
+    public static void setAction(Runnable value) {
+        boolean received;
+        synchronized (STATE_LOCK) {
+            action = value;
+            received = pending;
+            pending = false;
+        }
+        if (received) {
+            value.run();
+        }
+    }
+
+    static void receive() {
+        Runnable current;
+        synchronized (STATE_LOCK) {
+            current = action;
+            pending = current == null;
+        }
+        if (current != null) {
+            current.run();
+        }
+    }
 }
