--- a/stand-in/src/main/java/org/siskinramp/standin/http/HttpExchange.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/http/HttpExchange.java
@@ -120,6 +120,24 @@
         }
     }
 
+    /**
+     * Answers like {@link #answer}, but sends bytes before that if the connection was used before.
+     *
+     * @param stray the bytes
+     * @param status the HTTP status
+     * @param headers the headers
+     * @param content the body
+     */
+    public void answerAfterStrayBytes(
+            byte[] stray, int status, List<Header> headers, byte[] content) {
+        if (request.getConnectionMetaData().getConnection().getMessagesIn() <= 1) {
+            answer(status, headers, content);
+            return;
+        }
+        Runnable answer = () -> answer(status, headers, content);
+        endPoint().write(Callback.from(answer, failure -> answer.run()), ByteBuffer.wrap(stray));
+    }
+
     /**
      * Announces the length of a whole body, sends only its beginning and closes the connection.
      *
--- a/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamFault.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamFault.java
@@ -26,5 +26,10 @@
      * It runs the request and answers 503. The header that proves that a request was not run is
      * missing, so that the status must not be taken as such a proof.
      */
-    FALSE_PROMISE
+    FALSE_PROMISE,
+    /**
+     * It answers as it should, but on a connection that was used before it sends another refusal
+     * first, which names no request and is left over from nothing.
+     */
+    STRAY_REFUSAL
 }
--- a/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamStandIn.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamStandIn.java
@@ -30,6 +30,15 @@
     private static final long HEARTBEAT_INTERVAL_MILLISECONDS = 500;
     private static final long CANCELLATION_CHECK_INTERVAL_MILLISECONDS = 20;
     private static final String REQUEST_ID = "X-Siskinramp-Request-Id";
+    private static final byte[] STRAY_REFUSAL =
+            """
+            HTTP/1.1 503 Service Unavailable
+            X-Siskinramp-Not-Executed: 1
+            Content-Length: 0
+
+            """
+                    .replace("\n", "\r\n")
+                    .getBytes(StandardCharsets.US_ASCII);
     private static final String HEALTH_PATH = "/health";
 
     /**
@@ -318,7 +327,9 @@
         if (!target.equals(identity)) {
             exchange.answer(
                     MISDIRECTED,
-                    List.of(new Header("X-Siskinramp-Instance-Id", identity)),
+                    List.of(
+                            new Header("X-Siskinramp-Instance-Id", identity),
+                            requestIdHeader(exchange)),
                     new byte[0]);
         } else if (!crashPathPrefix.isEmpty() && exchange.path().startsWith(crashPathPrefix)) {
             crashListener.accept(exchange.header(REQUEST_ID).orElse(""));
@@ -330,7 +341,9 @@
             exchange.answer(
                     UNAVAILABLE,
                     withAdditionalHeaders(
-                            new Header("X-Siskinramp-Not-Executed", "1"), loadHeader()),
+                            new Header("X-Siskinramp-Not-Executed", "1"),
+                            requestIdHeader(exchange),
+                            loadHeader()),
                     new byte[0]);
         } else {
             String requestId = exchange.header(REQUEST_ID).orElse("");
@@ -358,6 +371,10 @@
         return all;
     }
 
+    private static Header requestIdHeader(HttpExchange exchange) {
+        return new Header(REQUEST_ID, exchange.header(REQUEST_ID).orElse(""));
+    }
+
     private Header loadHeader() {
         return new Header("X-Siskinramp-Upstream-Load", running + ",0," + slots + ",100");
     }
@@ -408,6 +425,7 @@
                             OK, headers, new byte[1], TRICKLE_INTERVAL_MILLISECONDS);
             case ENDLESS_HEAD -> exchange.sendEndlessHead(ENDLESS_CHUNK_BYTES);
             case SHORT_BODY -> exchange.answerTruncated(OK, headers, body, SHORT_BODY_SENT_BYTES);
+            case STRAY_REFUSAL -> exchange.answerAfterStrayBytes(STRAY_REFUSAL, OK, headers, body);
             case FALSE_PROMISE -> exchange.answer(UNAVAILABLE, headers, body);
             default -> exchange.answer(OK, headers, body);
         }
--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/SoakDeployment.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/SoakDeployment.java
@@ -51,6 +51,9 @@
     private final UpstreamStandIn[] servers = new UpstreamStandIn[SERVERS];
     private final FaultProxy[] serverLinks = new FaultProxy[SERVERS];
     private final List<UpstreamStandIn> allServers = new CopyOnWriteArrayList<>();
+    private static final List<String> UNREADABLE_ADDRESSES =
+            List.of("http://127.0.0.1:9", "127.0.0.300:9", "a b:9", "127.0.0.1/x:9", "::1:9");
+
     private final AtomicInteger startedServers = new AtomicInteger();
     private final AtomicInteger configurationVersions = new AtomicInteger();
 
@@ -218,6 +221,25 @@
         }
     }
 
+    /** Leaves entries in the servers table that name no server that could be used. */
+    void addUnreadableEntries() {
+        for (int number = 0; number < UNREADABLE_ADDRESSES.size(); number++) {
+            store.put(
+                    "servers",
+                    "unreadable-" + number,
+                    """
+                    {"service":"desk","address":"%s","zone":"%s","version":"v1","concurrency":4,
+                     "state":"ready","warmup_left_ms":0,"sequence":1}"""
+                            .formatted(UNREADABLE_ADDRESSES.get(number), zone(number)));
+        }
+    }
+
+    void removeUnreadableEntries() {
+        for (int number = 0; number < UNREADABLE_ADDRESSES.size(); number++) {
+            store.remove("servers", "unreadable-" + number);
+        }
+    }
+
     /** Makes a server announce a rate limit in its answers. */
     void limitRate(int server, String requestsPerSecond) {
         servers[server].setAdditionalHeaders(new Header("Server-Limit", requestsPerSecond));
--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/SoakFaults.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/SoakFaults.java
@@ -71,7 +71,7 @@
         String link = LINK_FAULTS.get(random.nextInt(LINK_FAULTS.size()));
         StoreFault storeFault = STORE_FAULTS.get(random.nextInt(STORE_FAULTS.size()));
         UpstreamFault serverFault = SERVER_FAULTS.get(random.nextInt(SERVER_FAULTS.size()));
-        switch (random.nextInt(15)) {
+        switch (random.nextInt(16)) {
             case 0 -> runExclusively("kill", host, () -> kill(host, durationMilliseconds));
             case 1 -> runExclusively("terminate", host, () -> terminate(host));
             case 2 ->
@@ -133,6 +133,14 @@
                     runAsynchronously(
                             "restore the store to " + durationMilliseconds + " ms ago",
                             () -> deployment.restoreStore(durationMilliseconds));
+            case 15 ->
+                    runAsynchronously(
+                            "entries of another writer " + durationMilliseconds,
+                            () -> {
+                                deployment.addUnreadableEntries();
+                                Waiting.milliseconds(durationMilliseconds);
+                                deployment.removeUnreadableEntries();
+                            });
             case 9 ->
                     runAsynchronously(
                             "replace server " + server, () -> deployment.replaceServer(server));
