--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
@@ -131,7 +131,8 @@
                     if (failure == null) {
                         answer(accepted, body, request, response, releasing);
                     } else {
-                        refuse(ResultException.from(failure), request, response, releasing);
+                        reservation.release();
+                        refuse(ResultException.from(failure), request, response, callback);
                     }
                 });
         reader.run();
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/RequestBodyReader.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/RequestBodyReader.java
@@ -94,6 +94,7 @@
     }
 
     private void fail(ResultException refusal) {
+        buffer.clear();
         body.completeExceptionally(refusal);
     }
 }
--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/HttpExchanger.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/HttpExchanger.java
@@ -131,19 +131,8 @@
                 connection -> releaseConnection(request.address(), connection));
     }
 
-    /**
-     * Sends the request of an exchange on an idle connection, or on a new one. Whatever the client
-     * library throws ends the exchange, so that whoever waits for its answer is notified.
-     */
+    /** Sends the request of an exchange on an idle connection, or on a new one. */
     void start(Exchange exchange) {
-        try {
-            sendOnAnyConnection(exchange);
-        } catch (RuntimeException failure) {
-            exchange.startFailed(failure);
-        }
-    }
-
-    private void sendOnAnyConnection(Exchange exchange) {
         ExchangeRequest request = exchange.request();
         pool.take(request.address(), request.idleLimitMilliseconds())
                 .ifPresentOrElse(exchange::sendOn, () -> openConnection(exchange));
@@ -151,6 +140,14 @@
 
     /** Opens a new connection for an exchange, even if idle ones exist. */
     void openConnection(Exchange exchange) {
+        try {
+            connect(exchange);
+        } catch (RuntimeException | Error failure) {
+            exchange.failUnexpectedly(failure);
+        }
+    }
+
+    private void connect(Exchange exchange) {
         ExchangeRequest request = exchange.request();
         long leftMilliseconds = exchange.leftMilliseconds();
         if (leftMilliseconds < options.connectTimeoutMilliseconds()) {
