--- a/library/src/main/java/org/siskinramp/gateway/Gateway.java
+++ b/library/src/main/java/org/siskinramp/gateway/Gateway.java
@@ -438,9 +438,9 @@
     private void runLocked(Consumer<DeferredActions> command) {
         try {
             DeferredActions.runLocked(lock, command);
-        } catch (IllegalStateException failure) {
+        } catch (RuntimeException | Error failure) {
             environment.counters().add(Counter.INVARIANT_VIOLATIONS);
-            record(LogEvent.named("command_failed").with("cause", failure.getCause()));
+            record(LogEvent.named("command_failed").with("cause", failure));
         }
     }
 
--- a/library/src/main/java/org/siskinramp/routing/DeferredActions.java
+++ b/library/src/main/java/org/siskinramp/routing/DeferredActions.java
@@ -44,8 +44,8 @@
      *
      * @param lock the lock
      * @param command the command to run under the lock
-     * @throws IllegalStateException if the command or an action has thrown; the first exception is
-     *     its cause, the others are suppressed
+     * @throws RuntimeException the first exception of the command and the actions, with the others
+     *     suppressed; it may also be an {@link Error}
      */
     public static void runLocked(Lock lock, Consumer<DeferredActions> command) {
         DeferredActions deferred = new DeferredActions();
@@ -78,8 +78,11 @@
         }
 
         private void throwIfAny() {
-            if (first != null) {
-                throw new IllegalStateException("command failed", first);
+            if (first instanceof Error error) {
+                throw error;
+            }
+            if (first instanceof RuntimeException exception) {
+                throw exception;
             }
         }
     }
