Read ahead on a connection only while its request is in progress

Change: without a close listener, a look reads nothing. The look before a request is processed is a method of its own, for the thread that handles it. Also on the caller side: each refusal as not run bears Retry-After (only one of two in a shutdown did, and not the limit of open requests), and an exception while a request is handed over is logged as processing_failed, since request_failed is the gateway's own event.

--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
@@ -90,15 +90,16 @@
         if (stopping.get()) {
             requestsInProgress.begin();
             refuse(
-                    ResultCode.STOPPING,
-                    "try another entry host",
+                    stopping("try another entry host"),
                     request,
                     response,
                     Callback.from(callback, requestsInProgress::end));
         } else if (!requestsInProgress.begin(options.concurrentRequestLimit())) {
             refuse(
-                    ResultCode.TOO_MANY_REQUESTS,
-                    "limit=" + options.concurrentRequestLimit(),
+                    new ResultException(
+                            ResultCode.TOO_MANY_REQUESTS,
+                            "limit=" + options.concurrentRequestLimit(),
+                            BodyMemoryBudget.RETRY_DELAY_MILLISECONDS),
                     request,
                     response,
                     callback);
@@ -141,13 +142,15 @@
     /** A request that the shutdown would cut is refused, since another host can serve it. */
     private void checkDeadline(AcceptedRequest accepted) {
         if (accepted.deadlineMilliseconds() > latestDeadlineMilliseconds.get()) {
-            throw new ResultException(
-                    ResultCode.STOPPING,
-                    "the deadline lies beyond the end of the shutdown",
-                    RETRY_DELAY_WHEN_STOPPING_MILLISECONDS);
+            throw stopping("the deadline lies beyond the end of the shutdown");
         }
     }
 
+    private static ResultException stopping(String detail) {
+        return new ResultException(
+                ResultCode.STOPPING, detail, RETRY_DELAY_WHEN_STOPPING_MILLISECONDS);
+    }
+
     private void checkLength(Request request) {
         if (request.getLength() > options.bodyLimitBytes()) {
             throw new ResultException(
@@ -163,7 +166,7 @@
             Callback callback) {
         long readMilliseconds = clock.monotonicMilliseconds();
         CloseDetectingEndPoint caller = callerOf(request);
-        if (caller.isClosedByCaller()) {
+        if (caller.isClosedBeforeProcessing()) {
             counters.add(Counter.CALLERS_LEFT);
             EofException closed = new EofException("caller closed the connection");
             logIfUndelivered(accepted, "reading", readMilliseconds, closed);
@@ -217,7 +220,7 @@
             return accepted.process(body, connection);
         } catch (RuntimeException | Error failure) {
             eventLog.record(
-                    LogEvent.named("request_failed")
+                    LogEvent.named("processing_failed")
                             .with("request", accepted.requestId())
                             .with("cause", failure));
             return CompletableFuture.failedFuture(failure);
@@ -236,11 +239,6 @@
         }
     }
 
-    private void refuse(
-            ResultCode code, String detail, Request request, Response response, Callback callback) {
-        refuse(new ResultException(code, detail), request, response, callback);
-    }
-
     private void refuse(
             ResultException refusal, Request request, Response response, Callback callback) {
         counters.add(Counter.REQUESTS);
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CloseDetectingEndPoint.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CloseDetectingEndPoint.java
@@ -91,16 +91,31 @@
     }
 
     /**
-     * Reads what has arrived, which finds a close that no event has reported yet. May be called
-     * only while a request is in progress.
+     * Reads what has arrived, which finds a close that no event has reported yet. Must be called by
+     * the thread that handles a request, before a listener is set.
      *
      * @return true if the caller has closed the connection
      */
+    boolean isClosedBeforeProcessing() {
+        synchronized (stateLock) {
+            readAhead();
+            return endOfInput || !isOpen();
+        }
+    }
+
+    /**
+     * Does the same while a request is in progress, that is, while a listener is set. Otherwise it
+     * reads nothing, since the HTTP connection would wait for the bytes that were read here.
+     *
+     * @return true if the caller is known to have closed the connection
+     */
     boolean isClosedByCaller() {
         boolean closed;
         Runnable listener;
         synchronized (stateLock) {
-            readAhead();
+            if (closeListener != null) {
+                readAhead();
+            }
             closed = endOfInput || !isOpen();
             listener = closed ? takeCloseListener() : null;
         }
--- a/daemon/src/test/java/org/siskinramp/daemon/caller/DepartedCallerTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/caller/DepartedCallerTest.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.server.Request;
 import org.junit.jupiter.api.AfterEach;
@@ -31,6 +33,7 @@
     private static final long TIMEOUT_MILLISECONDS = 5_000;
     private static final long TOTAL_BODY_LIMIT_BYTES = 100_000;
     private static final int CONCURRENT_REQUEST_LIMIT = 10;
+    private static final int KEPT_CONNECTION_REQUESTS = 2_000;
 
     private final CountDownLatch reading = new CountDownLatch(1);
     private final CountDownLatch readingAllowed = new CountDownLatch(1);
@@ -210,6 +213,36 @@
         assertEquals("/third", processed.get(2).path);
     }
 
+    /** A look after the answer must not take bytes that the HTTP connection waits for. */
+    @Test
+    void looksAfterTheAnswerDoNotDelayTheNextRequest() throws Exception {
+        AtomicReference<CallerConnection> connection =
+                new AtomicReference<>(CallerConnection.ALWAYS_OPEN);
+        AtomicBoolean looking = new AtomicBoolean(true);
+        Thread looker =
+                new Thread(
+                        () -> {
+                            while (looking.get()) {
+                                assertTrue(connection.get().isOpen());
+                            }
+                        });
+        looker.start();
+        try (Socket socket = connect()) {
+            for (int number = 0; number < KEPT_CONNECTION_REQUESTS; number++) {
+                int index = number;
+                write(socket, get("/next", 0));
+                await(() -> processed.size() == index + 1);
+                connection.set(processed.get(number).connection);
+                processed.get(number).complete();
+                assertTrue(readAnswer(socket, "/next").startsWith("HTTP/1.1 200 "));
+            }
+            looking.set(false);
+            looker.join();
+        } finally {
+            looking.set(false);
+        }
+    }
+
     @Test
     void aCallerThatSendsAheadAndLeavesIsNoticed() throws Exception {
         try (Socket socket = connect()) {
