Attribute the answers of probes like those of requests

On a kept connection a probe took whatever came as its answer; without a server's name in it, that was reported as another server at the address, which confirms a suspected crash. Change: on a connection that has answered before, a probe accepts only an answer that is certainly one to a probe. An answer without a name is unproven; only the name of another server shows that the address belongs to another.

--- a/daemon/src/main/java/org/siskinramp/daemon/backend/JettyBackendServerLink.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/backend/JettyBackendServerLink.java
@@ -10,6 +10,7 @@
 import org.siskinramp.attempt.BackendServerLink;
 import org.siskinramp.attempt.LoadReport;
 import org.siskinramp.configuration.BackendServer;
+import org.siskinramp.daemon.exchange.AnswerAttribution;
 import org.siskinramp.daemon.exchange.ExchangeAnswer;
 import org.siskinramp.daemon.exchange.ExchangeCall;
 import org.siskinramp.daemon.exchange.ExchangeRequest;
@@ -176,6 +177,7 @@
                             .deadlineMilliseconds(deadline)
                             .answerLimitBytes(PROBE_ANSWER_LIMIT_BYTES)
                             .idleLimitMilliseconds(idleLimitMilliseconds)
+                            .attribution(this::attributeProbeAnswer)
                             .reuseCheck(protocol::isProbeAnswer)
                             .identityCheck(protocol.identityCheck(""))
                             .closeDelimitedAllowed(protocol.isCloseDelimitedAllowed())
@@ -185,4 +187,10 @@
         }
         return exchanger.send(request).answer();
     }
+
+    private AnswerAttribution attributeProbeAnswer(ExchangeAnswer answer) {
+        return protocol.isProbeAnswer(answer)
+                ? AnswerAttribution.PROVEN
+                : AnswerAttribution.UNPROVEN;
+    }
 }
--- a/daemon/src/test/java/org/siskinramp/daemon/backend/JettyBackendServerLinkTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/backend/JettyBackendServerLinkTest.java
@@ -9,6 +9,7 @@
 import static org.siskinramp.daemon.exchange.ScriptedServer.reply;
 
 import java.io.IOException;
+import java.lang.reflect.Proxy;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -26,6 +27,7 @@
 import org.siskinramp.attempt.LoadReport;
 import org.siskinramp.configuration.AdministrativeState;
 import org.siskinramp.configuration.BackendServer;
+import org.siskinramp.daemon.exchange.ExchangeAnswer;
 import org.siskinramp.daemon.exchange.ExchangeOptions;
 import org.siskinramp.daemon.exchange.ManualClock;
 import org.siskinramp.daemon.exchange.ScriptedServer;
@@ -55,6 +57,10 @@
     private ScriptedServer server;
 
     private JettyBackendServerLink newLink() {
+        return newLink(new StandardServerProtocol(number -> "entry-1/i9/" + number));
+    }
+
+    private JettyBackendServerLink newLink(ServerProtocol protocol) {
         JettyBackendServerLink created =
                 new JettyBackendServerLink(
                         BackendServerLinkOptions.builder()
@@ -62,6 +68,7 @@
                                 .incarnation("i9")
                                 .exchange(ExchangeOptions.builder().answerLimitBytes(100).build())
                                 .build(),
+                        protocol,
                         clock,
                         (delay, task) ->
                                 CompletableFuture.delayedExecutor(delay, TimeUnit.MILLISECONDS)
@@ -398,6 +405,40 @@
         assertEquals(connections, server.closedByPeer());
     }
 
+    /** An answer left over on a kept connection says nothing about the server. */
+    @Test
+    void aProbeDoesNotTakeAnAnswerThatIsNotItsOwnOnAKeptConnection() throws Exception {
+        AtomicInteger answers = new AtomicInteger();
+        String probeAnswer = reply("200 OK", "", "Boot-Identity: b7", "Probe: 1");
+        String other = reply("200 OK", "", "Boot-Identity: b8");
+        server =
+                new ScriptedServer(request -> answers.incrementAndGet() == 2 ? other : probeAnswer);
+        JettyBackendServerLink strict = newLink(probesMustBeMarked());
+        try {
+            assertEquals(
+                    "b7", strict.probe(backendServer()).get(5, TimeUnit.SECONDS).bootIdentity());
+            assertEquals(AttemptFailure.ANSWER_CROSSED, failure(strict.probe(backendServer())));
+            assertEquals(
+                    "b7", strict.probe(backendServer()).get(5, TimeUnit.SECONDS).bootIdentity());
+        } finally {
+            strict.stop();
+        }
+    }
+
+    private static ServerProtocol probesMustBeMarked() {
+        ServerProtocol standard = new StandardServerProtocol(Long::toString);
+        return (ServerProtocol)
+                Proxy.newProxyInstance(
+                        ServerProtocol.class.getClassLoader(),
+                        new Class<?>[] {ServerProtocol.class},
+                        (proxy, method, arguments) ->
+                                method.getName().equals("isProbeAnswer")
+                                        ? ((ExchangeAnswer) arguments[0])
+                                                .header("Probe")
+                                                .isPresent()
+                                        : method.invoke(standard, arguments));
+    }
+
     private static AttemptFailure failure(CompletableFuture<?> future) {
         return exception(future).failure();
     }
