Convert exceptions of a server link in one place

FailureConvertingLink does so for all, in the environment of both. Tests of callers use BooleanSupplier in place of an interface of their own, and one method to start a request; their assertions are unchanged.

--- a/daemon/src/test/java/org/siskinramp/daemon/caller/DepartedCallerTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/caller/DepartedCallerTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.server.Request;
 import org.junit.jupiter.api.AfterEach;
@@ -129,13 +130,9 @@
         }
     }
 
-    private interface Condition {
-        boolean isMet();
-    }
-
-    private static void await(Condition condition) throws InterruptedException {
+    private static void await(BooleanSupplier condition) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLISECONDS);
-        while (!condition.isMet()) {
+        while (!condition.getAsBoolean()) {
             assertTrue(System.nanoTime() < end, "condition not met in time");
             Thread.sleep(2);
         }
@@ -156,6 +153,12 @@
         socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
     }
 
+    /** Sends a request and waits until it is in progress. */
+    private void sendFirst(Socket socket) throws Exception {
+        write(socket, get("/first", 0));
+        await(() -> processed.size() == 1);
+    }
+
     private static String readAnswer(Socket socket, String path) throws IOException {
         StringBuilder text = new StringBuilder();
         while (!text.toString().endsWith("\r\n\r\n" + path)) {
@@ -183,8 +186,7 @@
     @Test
     void theConnectionIsFoundClosedRightAfterTheClose() throws Exception {
         try (Socket socket = connect()) {
-            write(socket, get("/first", 0));
-            await(() -> processed.size() == 1);
+            sendFirst(socket);
             assertTrue(processed.get(0).connection.isOpen());
         }
         assertFalse(processed.get(0).connection.isOpen());
@@ -194,8 +196,7 @@
     @Test
     void requestsThatWereSentAheadAreAnsweredInOrder() throws Exception {
         try (Socket socket = connect()) {
-            write(socket, get("/first", 0));
-            await(() -> processed.size() == 1);
+            sendFirst(socket);
             write(socket, get("/second", 3_000));
             Thread.sleep(50);
             assertTrue(processed.get(0).connection.isOpen());
@@ -246,8 +247,7 @@
     @Test
     void aCallerThatSendsAheadAndLeavesIsNoticed() throws Exception {
         try (Socket socket = connect()) {
-            write(socket, get("/first", 0));
-            await(() -> processed.size() == 1);
+            sendFirst(socket);
             write(socket, get("/second", 3_000));
             Thread.sleep(50);
         }
@@ -258,8 +258,7 @@
     @Test
     void aCallerThatClosesOnlyItsSendingSideGetsNoAnswer() throws Exception {
         try (Socket socket = connect()) {
-            write(socket, get("/first", 0));
-            await(() -> processed.size() == 1);
+            sendFirst(socket);
             socket.shutdownOutput();
             assertEquals("", readAnswer(socket, "/first"));
         }
@@ -301,8 +300,7 @@
         for (boolean leaves : new boolean[] {false, true}) {
             processed.clear();
             try (Socket socket = connect()) {
-                write(socket, get("/first", 0));
-                await(() -> processed.size() == 1);
+                sendFirst(socket);
                 for (int next = 0; next < 5; next++) {
                     write(socket, get("/next", 6_000));
                 }
@@ -327,8 +325,7 @@
         for (int number = 0; number < connections; number++) {
             processed.clear();
             try (Socket socket = connect()) {
-                write(socket, get("/first", 0));
-                await(() -> processed.size() == 1);
+                sendFirst(socket);
                 write(socket, "G" + "E".repeat(bytesAhead));
                 Thread.sleep(20);
             }
@@ -336,8 +333,7 @@
         }
         processed.clear();
         try (Socket socket = connect()) {
-            write(socket, get("/first", 0));
-            await(() -> processed.size() == 1);
+            sendFirst(socket);
             write(socket, get("/second", 3_000));
             Thread.sleep(50);
             assertTrue(processed.get(0).connection.isOpen());
--- a/daemon/src/test/java/org/siskinramp/daemon/exchange/CancelledExchangeTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/exchange/CancelledExchangeTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.util.concurrent.CompletionException;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -48,17 +49,13 @@
                         .build());
     }
 
-    private void await(Condition condition) throws InterruptedException {
+    private void await(BooleanSupplier condition) throws InterruptedException {
         long end = clock.monotonicMilliseconds() + TIMEOUT_MILLISECONDS;
-        while (!condition.isMet() && clock.monotonicMilliseconds() < end) {
+        while (!condition.getAsBoolean() && clock.monotonicMilliseconds() < end) {
             Thread.sleep(2);
         }
     }
 
-    private interface Condition {
-        boolean isMet();
-    }
-
     @Test
     void aCancelledExchangeResetsItsConnection() throws Exception {
         ExchangeCall call = send("/silent", TIMEOUT_MILLISECONDS);
--- a/library/src/main/java/org/siskinramp/gateway/AttemptDispatcher.java
+++ b/library/src/main/java/org/siskinramp/gateway/AttemptDispatcher.java
@@ -100,8 +100,7 @@
         deferred.add(
                 () ->
                         Futures.whenDone(
-                                Futures.call(
-                                        () -> environment.backendServerLink().dispatch(attempt)),
+                                environment.backendServerLink().dispatch(attempt),
                                 (answer, failure) ->
                                         lockedExecutor.run(
                                                 innerDeferred ->
--- a/library/src/main/java/org/siskinramp/gateway/GatewayEnvironment.java
+++ b/library/src/main/java/org/siskinramp/gateway/GatewayEnvironment.java
@@ -2,6 +2,7 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.siskinramp.attempt.BackendServerLink;
+import org.siskinramp.attempt.FailureConvertingLink;
 import org.siskinramp.log.Counters;
 import org.siskinramp.log.EventLog;
 import org.siskinramp.log.RequestMetricsRecorder;
@@ -28,4 +29,10 @@
         EventLog eventLog,
         Counters counters,
         RequestMetricsRecorder metricsRecorder,
-        UniformRandomProvider random) {}
+        UniformRandomProvider random) {
+
+    /** Converts exceptions that the link throws into failed futures. */
+    public GatewayEnvironment {
+        backendServerLink = new FailureConvertingLink(backendServerLink);
+    }
+}
--- a/library/src/main/java/org/siskinramp/gateway/ProbeSender.java
+++ b/library/src/main/java/org/siskinramp/gateway/ProbeSender.java
@@ -44,11 +44,7 @@
         deferred.add(
                 () ->
                         Futures.whenDone(
-                                Futures.call(
-                                        () ->
-                                                environment
-                                                        .backendServerLink()
-                                                        .probe(server.server())),
+                                environment.backendServerLink().probe(server.server()),
                                 (report, failure) ->
                                         lockedExecutor.run(
                                                 innerDeferred ->
--- a/library/src/main/java/org/siskinramp/routing/RoutingEnvironment.java
+++ b/library/src/main/java/org/siskinramp/routing/RoutingEnvironment.java
@@ -2,6 +2,7 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.siskinramp.attempt.BackendServerLink;
+import org.siskinramp.attempt.FailureConvertingLink;
 import org.siskinramp.log.Counters;
 import org.siskinramp.log.EventLog;
 import org.siskinramp.peer.PeerSender;
@@ -38,4 +39,10 @@
         UniformRandomProvider random,
         SlotAuthority slotAuthority,
         SlotReleaseListener slotReleaseListener,
-        CrashSuspectTracker crashSuspectTracker) {}
+        CrashSuspectTracker crashSuspectTracker) {
+
+    /** Converts exceptions that the link throws into failed futures. */
+    public RoutingEnvironment {
+        backendServerLink = new FailureConvertingLink(backendServerLink);
+    }
+}
