End a request's body whatever is thrown while it is read

Anything else thrown on the way, by the source or by a check, left its request open, with its place and its reservation. Test: RequestBodyReaderTest; on the code before, the exception leaves the reader and the test run ends with it.

--- a/daemon/src/main/java/org/siskinramp/daemon/caller/RequestBodyReader.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/RequestBodyReader.java
@@ -36,9 +36,28 @@
         return body;
     }
 
-    /** Reads the chunks that have arrived and registers for the next one. */
+    /**
+     * Reads the chunks that have arrived and registers for the next one. Whatever is thrown on the
+     * way ends the body, so that its request is refused and gives back its memory.
+     */
     @Override
     public void run() {
+        try {
+            readAvailable();
+        } catch (ResultException refusal) {
+            fail(refusal);
+        } catch (OutOfMemoryError failure) {
+            fail(
+                    new ResultException(
+                            ResultCode.TOO_MANY_REQUESTS,
+                            String.valueOf(failure),
+                            BodyMemoryBudget.RETRY_DELAY_MILLISECONDS));
+        } catch (RuntimeException | Error failure) {
+            fail(new ResultException(ResultCode.INVARIANT_VIOLATED, "request body", failure));
+        }
+    }
+
+    private void readAvailable() {
         while (!body.isDone()) {
             Content.Chunk chunk = source.read();
             if (chunk == null) {
@@ -46,8 +65,7 @@
                 return;
             }
             if (Content.Chunk.isFailure(chunk)) {
-                fail(refusalOf(chunk.getFailure()));
-                return;
+                throw refusalOf(chunk.getFailure());
             }
             append(chunk);
         }
@@ -57,20 +75,12 @@
         try {
             checkLimits(chunk.remaining());
             buffer.add(chunk.getByteBuffer());
-            if (chunk.isLast()) {
-                body.complete(buffer.toBytes());
-            }
-        } catch (ResultException refusal) {
-            fail(refusal);
-        } catch (OutOfMemoryError failure) {
-            fail(
-                    new ResultException(
-                            ResultCode.TOO_MANY_REQUESTS,
-                            String.valueOf(failure),
-                            BodyMemoryBudget.RETRY_DELAY_MILLISECONDS));
         } finally {
             chunk.release();
         }
+        if (chunk.isLast()) {
+            body.complete(buffer.toBytes());
+        }
     }
 
     private void checkLimits(int chunkBytes) {
