--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/Exchange.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/Exchange.java
@@ -34,6 +34,7 @@
 final class Exchange implements ExchangeCall, Response.Listener, AnswerBufferLimiter.BufferOwner {
 
     private static final int FIRST_FINAL_STATUS = 200;
+    private static final int LAST_STATUS = 599;
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
     private static final int LOAD_UNKNOWN = -1;
@@ -305,6 +306,9 @@
     private void complete(Result result) {
         if (result.isFailed()) {
             failAfterSend(result.getFailure());
+        } else if (result.getResponse().getStatus() > LAST_STATUS) {
+            connection.close();
+            failAsInvalid("status " + result.getResponse().getStatus());
         } else if (!isComplete(result.getResponse())) {
             connection.close();
             fail(AttemptFailure.ANSWER_INCOMPLETE, "the end of the answer cannot be determined");
@@ -392,9 +396,18 @@
         if (HttpExchanger.isHeadTooLarge(failure)) {
             return AttemptFailure.ANSWER_ENDLESS;
         }
+        if (HttpExchanger.isMalformed(failure)) {
+            exchanger.countInvalidAnswer();
+        }
         return answerStarted ? AttemptFailure.ANSWER_INCOMPLETE : AttemptFailure.CONNECTION_BROKEN;
     }
 
+    /** Fails a request that the server may have run, since its answer proves nothing. */
+    private void failAsInvalid(String detail) {
+        exchanger.countInvalidAnswer();
+        fail(AttemptFailure.ANSWER_INVALID, detail);
+    }
+
     private boolean isTrickling() {
         long durationMilliseconds = clock.monotonicMilliseconds() - answerStartMilliseconds;
         return answerStarted
--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/HttpExchanger.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/HttpExchanger.java
@@ -1,5 +1,6 @@
 package org.siskinramp.daemon.exchange;
 
+import java.util.Optional;
 import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.ContinueProtocolHandler;
 import org.eclipse.jetty.client.HttpClient;
@@ -174,15 +175,29 @@
 
     /** Tells whether an answer failed because its headers exceeded the limit. */
     static boolean isHeadTooLarge(Throwable failure) {
+        return findParseFailure(failure)
+                .filter(parsed -> String.valueOf(parsed.getReason()).endsWith(HEAD_TOO_LARGE))
+                .isPresent();
+    }
+
+    /** Tells whether the answer could not be parsed. */
+    static boolean isMalformed(Throwable failure) {
+        return findParseFailure(failure).isPresent();
+    }
+
+    private static Optional<HttpException> findParseFailure(Throwable failure) {
         Throwable cause = failure;
         while (cause != null) {
-            if (cause instanceof HttpException parsed
-                    && String.valueOf(parsed.getReason()).endsWith(HEAD_TOO_LARGE)) {
-                return true;
+            if (cause instanceof HttpException parsed) {
+                return Optional.of(parsed);
             }
             cause = cause.getCause();
         }
-        return false;
+        return Optional.empty();
+    }
+
+    void countInvalidAnswer() {
+        counters.add(Counter.ANSWERS_INVALID);
     }
 
     Request newJettyRequest(ExchangeRequest request) {
--- a/library/src/main/java/org/siskinramp/attempt/AttemptFailure.java
+++ b/library/src/main/java/org/siskinramp/attempt/AttemptFailure.java
@@ -30,6 +30,8 @@
      * the request did not run is missing.
      */
     ANSWER_UNPROVEN(false),
+    /** The status of the answer is none that HTTP defines, such as 600. */
+    ANSWER_INVALID(false),
     /** The answer is larger than the limit. */
     ANSWER_TOO_LARGE(false),
     /** The answer exceeded a limit of bytes or time and had no known end. */
--- a/library/src/main/java/org/siskinramp/routing/ServerMonitor.java
+++ b/library/src/main/java/org/siskinramp/routing/ServerMonitor.java
@@ -135,6 +135,7 @@
                     ANSWER_INCOMPLETE,
                     ANSWER_CROSSED,
                     ANSWER_UNPROVEN,
+                    ANSWER_INVALID,
                     ANSWER_ENDLESS,
                     ANSWER_TOO_LARGE ->
                     recordFailure(server, now);
