--- a/daemon/src/main/java/org/siskinramp/daemon/peer/MessageTypes.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/peer/MessageTypes.java
@@ -26,7 +26,7 @@
 /**
  * Maps message types to their numbers on the wire. A number is never reused for another type.
  *
- * <p>13, 14, 15 and 18 were messages with versions that had no era.
+ * <p>13, 14, 15 and 18 were messages with versions that had no era, 21 one without workspaces.
  */
 final class MessageTypes {
 
@@ -48,7 +48,7 @@
                     Map.entry(QuarantineNews.class, 17),
                     Map.entry(FeedAsk.class, 19),
                     Map.entry(FeedNews.class, 20),
-                    Map.entry(OperatorNews.class, 21),
+                    Map.entry(OperatorNews.class, 23),
                     Map.entry(RoutesAsk.class, 22),
                     Map.entry(Hello.class, 100),
                     Map.entry(Receipt.class, 101));
--- a/daemon/src/test/java/org/siskinramp/daemon/peer/PeerCodecTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/peer/PeerCodecTest.java
@@ -39,6 +39,8 @@
 import org.siskinramp.route.CallerLimits;
 import org.siskinramp.route.RoutedService;
 import org.siskinramp.route.ServiceShare;
+import org.siskinramp.workspace.KeyDigest;
+import org.siskinramp.workspace.Workspace;
 
 class PeerCodecTest {
 
@@ -109,6 +111,7 @@
                                         "h",
                                         "/a/",
                                         true,
+                                        true,
                                         2_000,
                                         600,
                                         1,
@@ -116,6 +119,8 @@
                                         List.of(new ServiceShare("desk", 2)))),
                         List.of(new RoutedService("desk", "/health", 260, 1.5)),
                         new CallerLimits(1, 2, 3, 4),
+                        true,
+                        List.of(new Workspace("crew", 1, 202, 50.5, List.of(new KeyDigest(-1, 7)))),
                         List.of("zone-1"),
                         1,
                         true));
--- a/library/src/main/java/org/siskinramp/gateway/RequestContext.java
+++ b/library/src/main/java/org/siskinramp/gateway/RequestContext.java
@@ -44,6 +44,12 @@
         return route;
     }
 
+    /** Returns the rank by which the request is ordered among waiting ones, 0 is the first. */
+    int rank() {
+        int routeRank = route.rank();
+        return request.workspace().map(owner -> owner.rankOf(routeRank)).orElse(routeRank);
+    }
+
     CallerConnection callerConnection() {
         return callerConnection;
     }
--- a/library/src/main/java/org/siskinramp/gateway/ServicePool.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServicePool.java
@@ -120,7 +120,7 @@
             return;
         }
         long latestStart = latestStart(context);
-        int ahead = queue.countAhead(-context.route().rank(), latestStart);
+        int ahead = queue.countAhead(-context.rank(), latestStart);
         int requestsToStart = Math.max(0, ahead + 1 - ServerSearch.MAXIMUM_CONCURRENT_SEARCHES);
         long waitMilliseconds = startRate.expectedWaitMilliseconds(requestsToStart, now);
         if (AdmissionRule.startsTooLate(now, waitMilliseconds, latestStart)) {
@@ -154,7 +154,7 @@
     private void enqueue(RequestContext context, long latestStart, DeferredActions deferred) {
         long now = now();
         context.beginWaiting(now, latestStart);
-        queue.add(context, -context.route().rank(), latestStart);
+        queue.add(context, -context.rank(), latestStart);
         deferred.add(
                 () ->
                         schedule(
@@ -190,12 +190,10 @@
         if (first.isEmpty() || meetsObjective(first.get(), now)) {
             return first;
         }
-        int rank = first.get().route().rank();
+        int rank = first.get().rank();
         return queue.findFirst(
                         untried.and(
-                                waiting ->
-                                        waiting.route().rank() == rank
-                                                && meetsObjective(waiting, now)))
+                                waiting -> waiting.rank() == rank && meetsObjective(waiting, now)))
                 .or(() -> first);
     }
 
--- a/library/src/main/java/org/siskinramp/peer/RouteLine.java
+++ b/library/src/main/java/org/siskinramp/peer/RouteLine.java
@@ -11,6 +11,7 @@
  * @param host the host name of the requests that the route matches
  * @param prefix the path prefix of the requests that the route matches
  * @param idempotent whether its requests may run more than once
+ * @param openToAll whether its requests need no key of a workspace
  * @param timeLimitMilliseconds the time limit of a request, in milliseconds
  * @param latencyObjectiveMilliseconds the target latency of an answer, in milliseconds
  * @param rank its rank, 0 is the most urgent
@@ -22,6 +23,7 @@
         String host,
         String prefix,
         boolean idempotent,
+        boolean openToAll,
         long timeLimitMilliseconds,
         long latencyObjectiveMilliseconds,
         int rank,
@@ -35,6 +37,7 @@
      * @param host the host name of its requests
      * @param prefix the path prefix of its requests
      * @param idempotent whether its requests may run more than once
+     * @param openToAll whether its requests need no key of a workspace
      * @param timeLimitMilliseconds the time limit of a request
      * @param latencyObjectiveMilliseconds the target latency
      * @param rank its rank
@@ -57,6 +60,7 @@
                 route.host(),
                 route.prefix(),
                 route.isIdempotent(),
+                route.isPublic(),
                 route.timeLimitMilliseconds(),
                 route.latencyObjectiveMilliseconds(),
                 route.rank(),
@@ -75,6 +79,7 @@
                 .host(host)
                 .prefix(prefix)
                 .idempotent(idempotent)
+                .openToAll(openToAll)
                 .timeLimitMilliseconds(timeLimitMilliseconds)
                 .latencyObjectiveMilliseconds(latencyObjectiveMilliseconds)
                 .rank(rank)
--- a/library/src/main/java/org/siskinramp/relay/OperatorTableReplica.java
+++ b/library/src/main/java/org/siskinramp/relay/OperatorTableReplica.java
@@ -2,12 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.siskinramp.follow.Changes;
 import org.siskinramp.follow.EvacuatedZones;
 import org.siskinramp.follow.OperatorChange;
 import org.siskinramp.peer.OperatorNews;
 import org.siskinramp.peer.RouteLine;
 import org.siskinramp.route.RouteTable;
+import org.siskinramp.workspace.Workspace;
+import org.siskinramp.workspace.WorkspaceTable;
 
 /**
  * Holds a copy of the operator table, from which updates for other hosts are built. Large route
@@ -58,7 +61,9 @@
         List<RouteLine> lines = routes.routes().stream().map(RouteLine::of).toList();
         List<List<RouteLine>> parts = MultipartList.split(lines, ROUTES_PER_MESSAGE);
         List<OperatorNews> messages = new ArrayList<>();
+        List<Workspace> workspaces = routes.workspaces().map(WorkspaceTable::all).orElse(List.of());
         for (int part = 0; part < parts.size(); part++) {
+            boolean hasMoreParts = part + 1 < parts.size();
             messages.add(
                     new OperatorNews(
                             version,
@@ -67,9 +72,11 @@
                             parts.get(part),
                             List.copyOf(routes.services()),
                             routes.limits(),
+                            routes.workspaces().isPresent(),
+                            hasMoreParts ? List.of() : workspaces,
                             List.copyOf(evacuatedZones.names()),
                             part,
-                            part + 1 < parts.size()));
+                            hasMoreParts));
         }
         return messages;
     }
@@ -84,10 +91,17 @@
                                     update.routesVersion(),
                                     lines.stream().map(RouteLine::toRoute).toList(),
                                     update.services(),
-                                    update.callerLimits())));
+                                    update.callerLimits(),
+                                    workspacesOf(update))));
         }
         update.evacuatedZones()
                 .forEach(zone -> changes.add(new OperatorChange.Evacuation(zone, true)));
         return new Changes<>(update.operatorVersion(), true, changes);
     }
+
+    private static Optional<WorkspaceTable> workspacesOf(OperatorNews update) {
+        return update.keysRequired()
+                ? Optional.of(new WorkspaceTable(update.workspaces()))
+                : Optional.empty();
+    }
 }
--- a/library/src/main/java/org/siskinramp/request/Request.java
+++ b/library/src/main/java/org/siskinramp/request/Request.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
+import org.siskinramp.workspace.Workspace;
 
 /**
  * Holds a complete request of a caller.
@@ -22,6 +24,7 @@
     private final RequestKey key;
     private final String service;
     private final RequestKind kind;
+    private final Optional<Workspace> workspace;
     private final String method;
     private final String target;
     private final List<Header> headers;
@@ -34,6 +37,7 @@
         key = Objects.requireNonNull(builder.key, "key");
         service = Objects.requireNonNull(builder.service, "service");
         kind = Objects.requireNonNull(builder.kind, "kind");
+        workspace = builder.workspace;
         method = Objects.requireNonNull(builder.method, "method");
         target = Objects.requireNonNull(builder.target, "target");
         headers = List.copyOf(builder.headers);
@@ -79,6 +83,15 @@
         return kind;
     }
 
+    /**
+     * Returns the workspace whose key the request bears.
+     *
+     * @return the workspace, empty if the request needs no key
+     */
+    public Optional<Workspace> workspace() {
+        return workspace;
+    }
+
     /**
      * Returns the HTTP method.
      *
@@ -152,6 +165,7 @@
                 .key(key)
                 .service(service)
                 .kind(kind)
+                .workspace(workspace)
                 .method(method)
                 .target(target)
                 .headers(headers)
@@ -167,6 +181,7 @@
         private RequestKey key;
         private String service;
         private RequestKind kind;
+        private Optional<Workspace> workspace = Optional.empty();
         private String method;
         private String target;
         private List<Header> headers = List.of();
@@ -210,6 +225,17 @@
             return this;
         }
 
+        /**
+         * Sets the workspace whose key the request bears.
+         *
+         * @param value the workspace, empty if the request needs no key
+         * @return this builder
+         */
+        public Builder workspace(Optional<Workspace> value) {
+            workspace = value;
+            return this;
+        }
+
         /**
          * Sets the HTTP method.
          *
--- a/library/src/main/java/org/siskinramp/result/ResultCode.java
+++ b/library/src/main/java/org/siskinramp/result/ResultCode.java
@@ -52,6 +52,12 @@
     REQUEST_INCOMPLETE(218, 408, true, "the request did not arrive whole in time"),
     /** This entry host has not read the routes yet. */
     ROUTES_UNKNOWN(219, 503, true, "this entry host does not know the routes yet"),
+    /** No workspace holds the key of the request, or it bears none. */
+    KEY_UNKNOWN(220, 401, true, "no workspace holds the key of this request"),
+    /** The keys that this entry host knows are too old to refuse a key for good. */
+    KEYS_OUTDATED(221, 503, true, "this entry host cannot check the key at the moment"),
+    /** The workspace has used up its quota. */
+    QUOTA_EXCEEDED(222, 429, true, "the quota of the workspace is used up"),
 
     /** A non-idempotent request may have run, at most once. */
     OUTCOME_UNKNOWN(301, 502, false, "the request may have run, at most once"),
--- a/library/src/main/java/org/siskinramp/route/Route.java
+++ b/library/src/main/java/org/siskinramp/route/Route.java
@@ -19,6 +19,7 @@
     private final String host;
     private final String prefix;
     private final boolean idempotent;
+    private final boolean openToAll;
     private final long timeLimitMilliseconds;
     private final long latencyObjectiveMilliseconds;
     private final int rank;
@@ -30,6 +31,7 @@
         host = Objects.requireNonNull(builder.host, "host");
         prefix = Objects.requireNonNull(builder.prefix, "prefix");
         idempotent = builder.idempotent;
+        openToAll = builder.openToAll;
         timeLimitMilliseconds = builder.timeLimitMilliseconds;
         latencyObjectiveMilliseconds = builder.latencyObjectiveMilliseconds;
         rank = builder.rank;
@@ -82,6 +84,15 @@
         return idempotent;
     }
 
+    /**
+     * Tells whether requests need no key of a workspace.
+     *
+     * @return true for a public route
+     */
+    public boolean isPublic() {
+        return openToAll;
+    }
+
     /**
      * Returns the time limit of a request, after which the caller gets an error.
      *
@@ -134,6 +145,7 @@
         private String host;
         private String prefix;
         private boolean idempotent;
+        private boolean openToAll;
         private long timeLimitMilliseconds;
         private long latencyObjectiveMilliseconds;
         private int rank;
@@ -186,6 +198,17 @@
             return this;
         }
 
+        /**
+         * Sets whether requests need no key of a workspace.
+         *
+         * @param value true for a public route
+         * @return this builder
+         */
+        public Builder openToAll(boolean value) {
+            openToAll = value;
+            return this;
+        }
+
         /**
          * Sets the time limit of a request, after which the caller gets an error.
          *
--- a/library/src/main/java/org/siskinramp/route/RouteTable.java
+++ b/library/src/main/java/org/siskinramp/route/RouteTable.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.siskinramp.workspace.WorkspaceTable;
 
 /** Holds one version of all routes, services and limits. Immutable. */
 public final class RouteTable {
@@ -17,10 +18,11 @@
     private final Map<String, Map<String, Route>> routesByPrefixByHost = new HashMap<>();
     private final Map<String, RoutedService> services = new HashMap<>();
     private final CallerLimits limits;
+    private final Optional<WorkspaceTable> workspaces;
     private final int routeCount;
 
     /**
-     * Creates a table.
+     * Creates a table of a deployment without workspaces, whose callers need no keys.
      *
      * @param version the version, which increases with every change
      * @param routes all routes
@@ -32,8 +34,27 @@
             Collection<Route> routes,
             Collection<RoutedService> services,
             CallerLimits limits) {
+        this(version, routes, services, limits, Optional.empty());
+    }
+
+    /**
+     * Creates a table.
+     *
+     * @param version the version, which increases with every change
+     * @param routes all routes
+     * @param services the services that the routes refer to
+     * @param limits the limits for callers
+     * @param workspaces the workspaces whose keys callers need, empty if callers need no keys
+     */
+    public RouteTable(
+            long version,
+            Collection<Route> routes,
+            Collection<RoutedService> services,
+            CallerLimits limits,
+            Optional<WorkspaceTable> workspaces) {
         this.version = version;
         this.limits = limits;
+        this.workspaces = workspaces;
         this.routeCount = routes.size();
         for (Route route : routes) {
             routesByPrefixByHost
@@ -61,6 +82,15 @@
         return limits;
     }
 
+    /**
+     * Returns the workspaces.
+     *
+     * @return the workspaces, empty if callers need no keys
+     */
+    public Optional<WorkspaceTable> workspaces() {
+        return workspaces;
+    }
+
     /**
      * Returns the number of routes.
      *
