--- a/library/src/main/java/org/siskinramp/gateway/ServicePool.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServicePool.java
@@ -1,8 +1,6 @@
 package org.siskinramp.gateway;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
@@ -11,7 +9,6 @@
 import org.siskinramp.attempt.AttemptAnswer;
 import org.siskinramp.fleet.Fleet;
 import org.siskinramp.fleet.KnownServer;
-import org.siskinramp.health.LatencyWindow;
 import org.siskinramp.queue.WaitingQueue;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.route.RouteTable;
@@ -30,18 +27,6 @@
     /** How long after the deadline of a request its server's own answer is still awaited. */
     private static final long FINAL_ANSWER_GRACE_MILLISECONDS = 40;
 
-    /**
-     * Until a latency is known, the service time is assumed to be the objective divided by this.
-     */
-    private static final int INITIAL_LATENCY_DIVISOR = 3;
-
-    private static final double MEDIAN = 0.5;
-
-    /** Nine of ten requests that start early enough for this quantile meet their objective. */
-    private static final double NINETIETH_PERCENTILE = 0.9;
-
-    private static final int USUAL_SERVICE_TIME_PERCENT = 100;
-
     private final String service;
     private final GatewayEnvironment environment;
     private final LockedExecutor lockedExecutor;
@@ -57,7 +42,7 @@
     private final RetryController retryController;
     private final StartRate startRate = new StartRate();
     private final WaitingQueue<RequestContext> queue = new WaitingQueue<>();
-    private final Map<String, LatencyWindow> latencies = new HashMap<>();
+    private final ServiceTimes serviceTimes = new ServiceTimes();
 
     ServicePool(
             String service,
@@ -119,7 +104,7 @@
             refuseWithoutServer(context, deferred);
             return;
         }
-        long latestStart = latestStart(context);
+        long latestStart = serviceTimes.latestStart(context);
         int ahead = queue.countAhead(-context.rank(), latestStart);
         int requestsToStart = Math.max(0, ahead + 1 - ServerSearch.MAXIMUM_CONCURRENT_SEARCHES);
         long waitMilliseconds = startRate.expectedWaitMilliseconds(requestsToStart, now);
@@ -162,22 +147,6 @@
                                 innerDeferred -> placeOrRefuse(context, innerDeferred)));
     }
 
-    private long latestStart(RequestContext context) {
-        return latestStart(context, MEDIAN);
-    }
-
-    /**
-     * Returns when a request must start so that this share of such requests meets the objective.
-     */
-    private long latestStart(RequestContext context, double quantile) {
-        return Math.min(
-                context.request().deadlineMilliseconds() - 1,
-                AdmissionRule.latestStart(
-                        context.request().arrivedMilliseconds(),
-                        context.route().latencyObjectiveMilliseconds(),
-                        serviceTimeMilliseconds(context, quantile)));
-    }
-
     /**
      * Chooses the next request for a server: by rank, then by latest start. A request that is
      * unlikely to meet its objective yields to others of its rank. Under overload, if the request
@@ -187,36 +156,20 @@
     private Optional<RequestContext> nextRequestFor(KnownServer server, long now) {
         Predicate<RequestContext> untried = waiting -> !waiting.hasTried(server.server().name());
         Optional<RequestContext> first = queue.findFirst(untried);
-        if (first.isEmpty() || meetsObjective(first.get(), now)) {
+        if (first.isEmpty() || serviceTimes.meetsObjective(first.get(), now)) {
             return first;
         }
         int rank = first.get().rank();
         return queue.findFirst(
                         untried.and(
-                                waiting -> waiting.rank() == rank && meetsObjective(waiting, now)))
+                                waiting ->
+                                        waiting.rank() == rank
+                                                && serviceTimes.meetsObjective(waiting, now)))
                 .or(() -> first);
     }
 
-    private boolean meetsObjective(RequestContext context, long now) {
-        return now <= latestStart(context, NINETIETH_PERCENTILE);
-    }
-
     long medianServiceTimeMilliseconds(RequestContext context) {
-        return serviceTimeMilliseconds(context, MEDIAN);
-    }
-
-    /** Returns a quantile of the service time of such requests on a server of usual speed. */
-    private long serviceTimeMilliseconds(RequestContext context, double quantile) {
-        long fallbackMilliseconds =
-                context.route().latencyObjectiveMilliseconds() / INITIAL_LATENCY_DIVISOR;
-        LatencyWindow window = latencies.get(latencyKey(context));
-        return window == null
-                ? fallbackMilliseconds
-                : window.quantile(quantile, fallbackMilliseconds);
-    }
-
-    private static String latencyKey(RequestContext context) {
-        return context.route().name();
+        return serviceTimes.medianMilliseconds(context);
     }
 
     /**
@@ -406,12 +359,9 @@
 
     private void recordLatency(AttemptDispatcher.InFlightAttempt attempt) {
         long tookMilliseconds = now() - attempt.sentAt();
-        int serviceTimePercent = Math.max(USUAL_SERVICE_TIME_PERCENT, attempt.serviceTimePercent());
-        latencies
-                .computeIfAbsent(latencyKey(attempt.context()), kind -> new LatencyWindow())
-                .add(tookMilliseconds * USUAL_SERVICE_TIME_PERCENT / serviceTimePercent);
+        serviceTimes.record(attempt.context(), tookMilliseconds, attempt.serviceTimePercent());
         concurrencyLimit.recordLatency(
-                latencyKey(attempt.context()),
+                attempt.context().route().name(),
                 tookMilliseconds,
                 attempt.estimatedRequestsInProgress(),
                 attempt.server().server().slots());
