--- a/library/src/main/java/org/siskinramp/fleet/KnownServer.java
+++ b/library/src/main/java/org/siskinramp/fleet/KnownServer.java
@@ -238,6 +238,15 @@
                         + sentSinceLoadReport);
     }
 
+    /**
+     * Tells whether the server could run another request by its last load report.
+     *
+     * @return true if a slot is free; false if the load is unknown
+     */
+    public boolean hasFreeSlot() {
+        return hasLoadReport() && estimatedRequestsInProgress() < server().slots();
+    }
+
     /**
      * Returns the service time of the server, relative to its usual service time.
      *
--- a/library/src/main/java/org/siskinramp/gateway/RequestCompletion.java
+++ b/library/src/main/java/org/siskinramp/gateway/RequestCompletion.java
@@ -53,6 +53,15 @@
         refuseWithDelay(context, code, reason, retryAfterMilliseconds, deferred);
     }
 
+    /** Refuses a request that was shed by servers with free slots. */
+    void refuseShedWithRoom(RequestContext context, DeferredActions deferred) {
+        long retryAfterMilliseconds =
+                RetryAfterDelay.whileServersHaveRoom(
+                        context.route().latencyObjectiveMilliseconds(), environment.random());
+        refuseWithDelay(
+                context, ResultCode.SHED, "shed_with_room", retryAfterMilliseconds, deferred);
+    }
+
     /** Refuses a request until a known time; jitter spreads the retries of the callers after it. */
     void refuseUntil(
             RequestContext context,
--- a/library/src/main/java/org/siskinramp/gateway/ServicePool.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServicePool.java
@@ -351,7 +351,7 @@
             recordLatency(attempt);
         }
         if (!context.isCompleted()) {
-            applyVerdict(context, answer, verdict, deferred);
+            applyVerdict(attempt, answer, verdict, deferred);
         }
         reuseFreedSlot(attempt.server(), deferred);
         processQueue(deferred);
@@ -368,10 +368,11 @@
     }
 
     private void applyVerdict(
-            RequestContext context,
+            AttemptDispatcher.InFlightAttempt attempt,
             AttemptAnswer answer,
             AttemptVerdict verdict,
             DeferredActions deferred) {
+        RequestContext context = attempt.context();
         boolean retryable =
                 verdict != AttemptVerdict.DELIVER
                         && verdict != AttemptVerdict.FAIL
@@ -384,11 +385,22 @@
         switch (verdict) {
             case DELIVER, REPEAT_OR_DELIVER ->
                     completion.answer(context, answer.answer(), deferred);
-            case REPEAT_OR_REFUSE -> refuseOrFail(context, ResultCode.SHED, "shed", deferred);
+            case REPEAT_OR_REFUSE -> refuseShed(context, attempt.server(), deferred);
             default -> completion.fail(context, failureCode(context), "server_failed", deferred);
         }
     }
 
+    /** Refuses a request that servers shed, for a short time if they shed it despite free slots. */
+    private void refuseShed(RequestContext context, KnownServer server, DeferredActions deferred) {
+        boolean hasRoom =
+                queue.size() == 0 && server.hasFreeSlot() && !eligibility.hasNoUsableServer(now());
+        if (hasRoom && !context.mayHaveRun() && !crashDetector.isQuarantined(context)) {
+            completion.refuseShedWithRoom(context, deferred);
+        } else {
+            refuseOrFail(context, ResultCode.SHED, "shed", deferred);
+        }
+    }
+
     private static ResultCode failureCode(RequestContext context) {
         return context.route().isIdempotent()
                 ? ResultCode.BACKEND_SERVER_FAILED
--- a/library/src/test/java/org/siskinramp/gateway/GatewayTest.java
+++ b/library/src/test/java/org/siskinramp/gateway/GatewayTest.java
@@ -174,6 +174,23 @@
         assertEquals(ResultCode.SHED, codeOf(answer));
     }
 
+    /**
+     * Callers were told to wait as if servers were full, and came back too late for the objective.
+     */
+    @Test
+    void aCallerReturnsSoonIfServersWithFreeSlotsShedItsRequest() {
+        for (int number = 0; number < 5; number++) {
+            publish(
+                    servers.add("shedding-" + number, "zone-1", 4, 50)
+                            .withBehaviour(SimulatedServers.Behaviour.SHED));
+        }
+        CompletableFuture<Answer> answer = send(READ);
+        time.advance(50);
+        assertEquals(ResultCode.SHED, codeOf(answer));
+        long delay = failureOf(answer).retryAfterMilliseconds().orElseThrow();
+        assertTrue(delay <= READ.latencyObjectiveMilliseconds() / 8, "retry-after delay: " + delay);
+    }
+
     @Test
     void refusesAtOnceWithoutAServer() {
         CompletableFuture<Answer> answer = send(READ);
