--- a/stand-in/src/main/java/org/siskinramp/standin/http/HttpExchange.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/http/HttpExchange.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Request;
@@ -87,6 +89,20 @@
         return Optional.ofNullable(request.getHeaders().get(name));
     }
 
+    /**
+     * Returns all fields of the request as they were sent.
+     *
+     * @return the header fields, followed by those of the trailer
+     */
+    public List<Header> fields() {
+        HttpFields trailer = request.getTrailers();
+        return Stream.concat(
+                        request.getHeaders().stream(),
+                        trailer == null ? Stream.empty() : trailer.stream())
+                .map(field -> new Header(field.getName(), field.getValue()))
+                .toList();
+    }
+
     /**
      * Returns the whole body. Callers must not modify the array.
      *
--- a/stand-in/src/main/java/org/siskinramp/standin/upstream/RunListener.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/upstream/RunListener.java
@@ -1,6 +1,9 @@
 package org.siskinramp.standin.upstream;
 
-/** Is notified of the requests that a backend server runs. */
+import java.util.List;
+import org.siskinramp.request.Header;
+
+/** Is notified of the requests that a backend server receives and runs. */
 public interface RunListener {
 
     /** Ignores all requests. */
@@ -13,6 +16,13 @@
                 public void ended(String requestId) {}
             };
 
+    /**
+     * Is called when the server receives a request, which it may not run, or a probe.
+     *
+     * @param fields the fields of the header and of the trailer
+     */
+    default void received(List<Header> fields) {}
+
     /**
      * Is called when the server starts to run a request.
      *
--- a/stand-in/src/main/java/org/siskinramp/standin/upstream/SampleDeployment.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/upstream/SampleDeployment.java
@@ -27,6 +27,26 @@
                 .formatted(version);
     }
 
+    /**
+     * Returns a configuration whose callers need keys, with a public route for reads in addition.
+     *
+     * @param version the number in its version
+     * @param tenants the tenants as a JSON list
+     * @return the configuration as JSON
+     */
+    public static String configurationWithTenants(int version, String tenants) {
+        return configuration(version)
+                .replace("\"services\":", "\"tenants\":" + tenants + ",\n \"services\":")
+                .replace(
+                        "\"paths\":[",
+                        """
+                        "paths":[
+                           {"name":"open","prefix":"/open/","kind":"safe","timeout_ms":1200,
+                            "goal_latency_ms":600,"priority":2,"service":"desk","max_attempts":2,
+                            "public":true},\
+                        """);
+    }
+
     /**
      * Returns the settings of a gateway that listens on free ports.
      *
--- a/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamStandIn.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamStandIn.java
@@ -315,6 +315,7 @@
 
     private void handle(HttpExchange exchange) {
         receivedRequests.incrementAndGet();
+        runListener.received(exchange.fields());
         if (exchange.path().equals(HEALTH_PATH)) {
             answerHealthCheck(exchange);
             return;
