--- a/daemon/src/main/java/org/siskinramp/daemon/peer/MessageTypes.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/peer/MessageTypes.java
@@ -19,6 +19,7 @@
 import org.siskinramp.peer.OperatorNews;
 import org.siskinramp.peer.PeerMessage;
 import org.siskinramp.peer.QuarantineNews;
+import org.siskinramp.peer.RolloutNews;
 import org.siskinramp.peer.RoutesAsk;
 import org.siskinramp.peer.SlotRelease;
 import org.siskinramp.peer.SuspectRequest;
@@ -26,7 +27,8 @@
 /**
  * Maps message types to their numbers on the wire. A number is never reused for another type.
  *
- * <p>13, 14, 15 and 18 were messages with versions that had no era, 21 one without workspaces.
+ * <p>13, 14, 15 and 18 were messages with versions that had no era, 20 one without software
+ * versions, 21 one without workspaces.
  */
 final class MessageTypes {
 
@@ -47,8 +49,9 @@
                     Map.entry(CrashReport.class, 16),
                     Map.entry(QuarantineNews.class, 17),
                     Map.entry(FeedAsk.class, 19),
-                    Map.entry(FeedNews.class, 20),
+                    Map.entry(FeedNews.class, 28),
                     Map.entry(OperatorNews.class, 23),
+                    Map.entry(RolloutNews.class, 29),
                     Map.entry(RoutesAsk.class, 22),
                     Map.entry(Hello.class, 100),
                     Map.entry(Receipt.class, 101));
--- a/daemon/src/test/java/org/siskinramp/daemon/peer/PeerCodecTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/peer/PeerCodecTest.java
@@ -29,6 +29,7 @@
 import org.siskinramp.peer.LoanReturn;
 import org.siskinramp.peer.OperatorNews;
 import org.siskinramp.peer.PeerMessage;
+import org.siskinramp.peer.RolloutNews;
 import org.siskinramp.peer.RouteLine;
 import org.siskinramp.peer.RoutesAsk;
 import org.siskinramp.peer.ServerAllowance;
@@ -36,6 +37,9 @@
 import org.siskinramp.peer.SlotRelease;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.result.ResultException;
+import org.siskinramp.rollout.RolloutOrder;
+import org.siskinramp.rollout.RolloutReport;
+import org.siskinramp.rollout.RolloutStage;
 import org.siskinramp.route.CallerLimits;
 import org.siskinramp.route.RoutedService;
 import org.siskinramp.route.ServiceShare;
@@ -92,7 +96,7 @@
                         false,
                         0,
                         false,
-                        List.of(new ServerEntry(SERVER, true, 0, 1_000, 7)),
+                        List.of(new ServerEntry(SERVER, true, 0, 1_000, 7, "v2")),
                         List.of("i-2"),
                         5,
                         6,
@@ -125,6 +129,15 @@
                         1,
                         true));
         assertRoundTrip(new RoutesAsk(7));
+        assertRoundTrip(
+                new RolloutNews(
+                        List.of(
+                                new RolloutReport(
+                                        new RolloutOrder("desk", "v2", 12_000, 7, 1L << 44 | 7),
+                                        false,
+                                        RolloutStage.RUNNING,
+                                        true,
+                                        -1))));
     }
 
     @Test
@@ -184,10 +197,13 @@
                 codec.decode(HexFormat.of().parseHex("01920892" + "07a178")));
     }
 
-    /** Versions in messages of earlier builds have no era; they cannot be compared with ours. */
+    /**
+     * Versions in messages of earlier builds have no era and cannot be compared with ours; entries
+     * of servers have no software version, without which a target would get requests.
+     */
     @Test
-    void ignoresMessagesWhoseVersionsHaveNoEra() {
-        for (String number : List.of("0d", "0e", "0f", "12")) {
+    void ignoresMessagesOfEarlierBuilds() {
+        for (String number : List.of("0d", "0e", "0f", "12", "14")) {
             byte[] frame = HexFormat.of().parseHex("0192" + number + "9107");
             assertEquals(Optional.empty(), codec.decode(frame), number);
         }
--- a/library/src/main/java/org/siskinramp/fleet/Fleet.java
+++ b/library/src/main/java/org/siskinramp/fleet/Fleet.java
@@ -23,14 +23,30 @@
 
     private final Map<String, KnownServer> servers = new TreeMap<>();
     private final Map<String, List<KnownServer>> byService = new HashMap<>();
+    private final ServerGate serverGate;
     private Set<String> evacuatedZones = Set.of();
 
+    /** Creates a fleet without servers, in which the state of a server alone decides. */
+    public Fleet() {
+        this(ServerGate.OPEN);
+    }
+
+    /**
+     * Creates a fleet without servers.
+     *
+     * @param serverGate decides which servers may get requests apart from their own state
+     */
+    public Fleet(ServerGate serverGate) {
+        this.serverGate = serverGate;
+    }
+
     /**
      * Adds a server, or updates its entry.
      *
      * @param entry the entry
      * @param now monotonic milliseconds
-     * @return true if the server is new, or its description, state or start time changed
+     * @return true if the server is new, or its description, state, start time or software version
+     *     changed
      */
     public boolean put(ServerEntry entry, long now) {
         String name = entry.server().name();
@@ -49,6 +65,7 @@
                 known.isExpired(now)
                         || known.entry().leaving() != entry.leaving()
                         || known.entry().startedMilliseconds() != entry.startedMilliseconds()
+                        || !known.entry().softwareVersion().equals(entry.softwareVersion())
                         || !known.server().equals(entry.server());
         known.update(entry, now);
         return changed;
@@ -201,14 +218,26 @@
      *
      * @param server the server
      * @param now monotonic milliseconds
-     * @return true if it is in rotation, not paused and in no evacuated availability zone
+     * @return true if it is in rotation, not paused, in no evacuated availability zone and not kept
+     *     from requests by an order
      */
     public boolean isUsable(KnownServer server, long now) {
         return isEligible(server, now) && !server.isPaused(now);
     }
 
+    /**
+     * Tells whether a server may get requests apart from its own state.
+     *
+     * @param server the server
+     * @return false while an order keeps requests from it
+     */
+    public boolean mayServe(KnownServer server) {
+        return serverGate.mayServe(server.entry());
+    }
+
     private boolean isEligible(KnownServer server, long now) {
         return server.isInRotation(now)
+                && mayServe(server)
                 && !evacuatedZones.contains(server.server().availabilityZone());
     }
 
--- a/library/src/main/java/org/siskinramp/fleet/ServerEntry.java
+++ b/library/src/main/java/org/siskinramp/fleet/ServerEntry.java
@@ -11,13 +11,33 @@
  *     the server was warm
  * @param startedMilliseconds the calendar time at which the server process started
  * @param sequence the number of entries that the server process has published so far
+ * @param softwareVersion the version of the software that the server runs, empty if unknown
  */
 public record ServerEntry(
         BackendServer server,
         boolean leaving,
         long remainingWarmUpMilliseconds,
         long startedMilliseconds,
-        long sequence) {
+        long sequence,
+        String softwareVersion) {
+
+    /**
+     * Creates the entry of a server whose software version is unknown.
+     *
+     * @param server the description of the server
+     * @param leaving whether the server drains
+     * @param remainingWarmUpMilliseconds the remaining warm-up time
+     * @param startedMilliseconds the calendar time at which the server process started
+     * @param sequence the number of entries so far
+     */
+    public ServerEntry(
+            BackendServer server,
+            boolean leaving,
+            long remainingWarmUpMilliseconds,
+            long startedMilliseconds,
+            long sequence) {
+        this(server, leaving, remainingWarmUpMilliseconds, startedMilliseconds, sequence, "");
+    }
 
     /**
      * Tells whether this entry was published before another one of the same server.
--- a/library/src/main/java/org/siskinramp/follow/GatewayFeed.java
+++ b/library/src/main/java/org/siskinramp/follow/GatewayFeed.java
@@ -2,9 +2,11 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.siskinramp.fleet.ServerEntry;
 import org.siskinramp.gateway.Gateway;
+import org.siskinramp.rollout.RolloutRows;
 
 /**
  * Applies changes of the servers table and the operator table to a gateway. Not thread-safe: each
@@ -16,15 +18,27 @@
     private static final long REPUBLISH_WAIT_MILLISECONDS = 2_300;
 
     private final Gateway gateway;
+    private final Consumer<RolloutRows> rolloutListener;
     private final EvacuatedZones evacuatedZones = new EvacuatedZones();
 
     /**
-     * Creates a feed.
+     * Creates a feed that ignores orders of roll-outs.
      *
      * @param gateway the gateway
      */
     public GatewayFeed(Gateway gateway) {
+        this(gateway, rows -> {});
+    }
+
+    /**
+     * Creates a feed.
+     *
+     * @param gateway the gateway
+     * @param rolloutListener receives the orders of roll-outs
+     */
+    public GatewayFeed(Gateway gateway, Consumer<RolloutRows> rolloutListener) {
         this.gateway = gateway;
+        this.rolloutListener = rolloutListener;
     }
 
     /**
@@ -71,7 +85,7 @@
     }
 
     /**
-     * Applies changes of the operator table: routes and evacuated availability zones.
+     * Applies changes of the operator table: routes, evacuated availability zones and roll-outs.
      *
      * @param changes the changes
      */
@@ -79,6 +93,9 @@
         for (OperatorChange change : changes.items()) {
             if (change instanceof OperatorChange.Routes routes) {
                 gateway.updateRoutes(routes.routes());
+            } else if (change instanceof OperatorChange.Rollouts rollouts) {
+                rolloutListener.accept(
+                        changes.isRestored() ? rollouts.rows().asRestored() : rollouts.rows());
             }
         }
         evacuatedZones.apply(changes);
--- a/library/src/main/java/org/siskinramp/follow/OperatorChange.java
+++ b/library/src/main/java/org/siskinramp/follow/OperatorChange.java
@@ -1,5 +1,6 @@
 package org.siskinramp.follow;
 
+import org.siskinramp.rollout.RolloutRows;
 import org.siskinramp.route.RouteTable;
 
 /** A change of the operator table. */
@@ -19,4 +20,12 @@
      * @param evacuated true while its backend servers must not receive requests
      */
     record Evacuation(String availabilityZone, boolean evacuated) implements OperatorChange {}
+
+    /**
+     * Changes the orders of roll-outs. Each snapshot that this host read from the store holds one
+     * of these; one of a peer holds none, since peers send orders in other messages.
+     *
+     * @param rows the orders that were read
+     */
+    record Rollouts(RolloutRows rows) implements OperatorChange {}
 }
--- a/library/src/main/java/org/siskinramp/gateway/Gateway.java
+++ b/library/src/main/java/org/siskinramp/gateway/Gateway.java
@@ -42,7 +42,7 @@
     private final ReentrantLock lock = new ReentrantLock();
     private final GatewayEnvironment environment;
     private final GatewayOptions options;
-    private final Fleet fleet = new Fleet();
+    private final Fleet fleet;
     private final WeightedServiceSelector serviceSelector = new WeightedServiceSelector();
     private final Map<String, ServicePool> pools = new HashMap<>();
     private volatile RouteTable routes = RouteTable.EMPTY;
@@ -85,6 +85,7 @@
             Quarantine quarantine,
             CrashReporter reporter) {
         this.environment = environment;
+        this.fleet = new Fleet(environment.serverGate());
         this.options = options;
         this.hostShare =
                 new HostShare(
@@ -432,9 +433,7 @@
         }
     }
 
-    /**
-     * Runs a command. Its failure is logged; callers need not know, since nothing is left behind.
-     */
+    /** Runs a command. Its failure is logged only, since nothing is left behind. */
     private void runLocked(Consumer<DeferredActions> command) {
         try {
             DeferredActions.runLocked(lock, command);
--- a/library/src/main/java/org/siskinramp/gateway/ServerEligibility.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServerEligibility.java
@@ -108,11 +108,13 @@
     }
 
     /**
-     * Tells whether this host may send the server a request now: it has not used its share of the
-     * server's rate limit, and its send window is open if the server is cold.
+     * Tells whether this host may send the server a request now: no order keeps requests from the
+     * server, this host has not used its share of the server's rate limit, and its send window is
+     * open if the server is cold.
      */
     boolean maySend(KnownServer server, long now) {
-        return rateLimits.allows(server, now)
+        return fleet.mayServe(server)
+                && rateLimits.allows(server, now)
                 && (!server.isCold(now) || isColdWindowOpen(server, now));
     }
 
--- a/library/src/main/java/org/siskinramp/log/Counter.java
+++ b/library/src/main/java/org/siskinramp/log/Counter.java
@@ -68,6 +68,8 @@
     EJECTIONS,
     /** Connections closed because they had stopped responding. */
     SILENT_CONNECTIONS,
+    /** Orders of roll-outs that this host recorded as rolled back. */
+    ROLLOUTS_ROLLED_BACK,
     /** Journal entries dropped while the object store was unavailable. */
     JOURNAL_DROPS;
 
--- a/library/src/main/java/org/siskinramp/relay/OperatorTableReplica.java
+++ b/library/src/main/java/org/siskinramp/relay/OperatorTableReplica.java
@@ -35,7 +35,7 @@
     }
 
     void apply(Changes<OperatorChange> changes) {
-        if (!changes.isSnapshot() && changes.items().isEmpty()) {
+        if (!changes.isSnapshot() && changes.items().stream().allMatch(this::isSentElsewhere)) {
             return;
         }
         version = changes.version();
@@ -49,6 +49,11 @@
         }
     }
 
+    /** Orders of roll-outs have messages of their own, so hosts need no new table for them. */
+    private boolean isSentElsewhere(OperatorChange change) {
+        return change instanceof OperatorChange.Rollouts;
+    }
+
     /** Builds the messages that are sent without a request; none if there are too many routes. */
     List<OperatorNews> unsolicitedMessages(long ageMilliseconds) {
         return routes.routeCount() > MAXIMUM_UNSOLICITED_ROUTES
--- a/library/src/main/java/org/siskinramp/relay/ServerTableReplica.java
+++ b/library/src/main/java/org/siskinramp/relay/ServerTableReplica.java
@@ -126,6 +126,7 @@
             return !newer.server().equals(entry.server())
                     || newer.leaving() != entry.leaving()
                     || newer.startedMilliseconds() != entry.startedMilliseconds()
+                    || !newer.softwareVersion().equals(entry.softwareVersion())
                     || Math.abs(
                                     newer.remainingWarmUpMilliseconds()
                                             - remainingWarmUpMilliseconds(now))
@@ -142,7 +143,8 @@
                     entry.leaving(),
                     remainingWarmUpMilliseconds(now),
                     entry.startedMilliseconds(),
-                    entry.sequence());
+                    entry.sequence(),
+                    entry.softwareVersion());
         }
     }
 }
--- a/library/src/test/java/org/siskinramp/fleet/FleetTest.java
+++ b/library/src/test/java/org/siskinramp/fleet/FleetTest.java
@@ -67,6 +67,19 @@
         assertEquals(1, fleet.usable("s", 0).size());
     }
 
+    /** Requests to the target of an order must wait for a stage that allows them. */
+    @Test
+    void aServerThatTheGateKeepsBackGetsNoRequests() {
+        Fleet gated = new Fleet(entry -> !entry.softwareVersion().equals("v2"));
+        ServerEntry held = entry("a", false, 1, 1);
+        gated.put(new ServerEntry(held.server(), false, 0, 1, 1, "v2"), 0);
+        assertFalse(gated.hasUsable("s", 0));
+        gated.put(entry("b", false, 1, 1), 0);
+        assertEquals(1, gated.usable("s", 0).size());
+        assertTrue(gated.put(new ServerEntry(held.server(), false, 0, 1, 2, "v1"), 0));
+        assertEquals(2, gated.usable("s", 0).size());
+    }
+
     @Test
     void estimatesTheLoadFromTheLastLoadReportAndTheRequestsSentSince() {
         fleet.put(entry("a", false, 1, 1), 0);
