--- a/daemon/src/main/java/org/siskinramp/daemon/caller/AcceptedRequest.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/AcceptedRequest.java
@@ -21,6 +21,17 @@
      */
     long deadlineMilliseconds();
 
+    /**
+     * Tells whether the request may be in progress at the same time as other requests of its
+     * connection. Such a request may be started and cancelled, and started again, before it is
+     * answered, so it must be idempotent.
+     *
+     * @return false unless the protocol allows it
+     */
+    default boolean mayStartEarly() {
+        return false;
+    }
+
     /**
      * Processes the request.
      *
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/BodyMemoryBudget.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/BodyMemoryBudget.java
@@ -1,5 +1,6 @@
 package org.siskinramp.daemon.caller;
 
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import org.siskinramp.daemon.buffer.MemoryReservation;
 import org.siskinramp.result.ResultCode;
@@ -30,6 +31,22 @@
         return reservation;
     }
 
+    /**
+     * Reserves memory for an answer that waits for earlier answers of its connection. It may take
+     * only what leaves half of the limit free, so that callers that read nothing cannot have the
+     * bodies of others refused.
+     */
+    Optional<Reservation> reserveSpare(long bytes) {
+        if (reservedBytes() + bytes > limitBytes / 2) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(reserve(bytes));
+        } catch (ResultException limitReached) {
+            return Optional.empty();
+        }
+    }
+
     long reservedBytes() {
         return reservedBytes.get();
     }
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
@@ -1,11 +1,7 @@
 package org.siskinramp.daemon.caller;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicLong;
-import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.http.HttpHeaderValue;
-import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -16,7 +12,6 @@
 import org.siskinramp.log.EventLog;
 import org.siskinramp.log.LogEvent;
 import org.siskinramp.request.Answer;
-import org.siskinramp.request.CallerConnection;
 import org.siskinramp.result.Futures;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.result.ResultException;
@@ -25,9 +20,6 @@
 /** Reads each request completely, has it processed, and writes the answer or the refusal. */
 final class CallerHandler extends Handler.Abstract {
 
-    /** A new connection reaches another host as soon as the balancer knows of the shutdown. */
-    private static final long RETRY_DELAY_WHEN_STOPPING_MILLISECONDS = 50;
-
     private final CallerProtocol protocol;
     private final AnswerWriter writer;
     private final Clock clock;
@@ -35,10 +27,9 @@
     private final EventLog eventLog;
     private final Counters counters;
     private final BodyMemoryBudget bodyMemoryBudget;
-    private final InProgressRequests requestsInProgress = new InProgressRequests();
-    private final AtomicBoolean stopping = new AtomicBoolean();
-    private final AtomicBoolean keepAliveDisabled = new AtomicBoolean();
-    private final AtomicLong latestDeadlineMilliseconds = new AtomicLong(Long.MAX_VALUE);
+    private final RequestAdmission admission;
+    private final RequestProcessor processor;
+    private final AnswerDelivery delivery;
 
     CallerHandler(
             CallerProtocol protocol,
@@ -54,67 +45,99 @@
         this.eventLog = eventLog;
         this.counters = counters;
         this.bodyMemoryBudget = new BodyMemoryBudget(options.totalBodyLimitBytes());
+        this.admission = new RequestAdmission(options.concurrentRequestLimit());
+        this.processor = new RequestProcessor(eventLog);
+        this.delivery = new AnswerDelivery(writer, clock, eventLog, counters);
     }
 
-    InProgressRequests requestsInProgress() {
-        return requestsInProgress;
+    RequestAdmission admission() {
+        return admission;
     }
 
-    BodyMemoryBudget bodyMemoryBudget() {
-        return bodyMemoryBudget;
+    ConnectionParts connectionParts() {
+        return new ConnectionParts(
+                bodyMemoryBudget,
+                new HeadParser(options.headerLimitBytes()),
+                new EarlyStarter(protocol, admission, processor, counters, clock),
+                clock);
     }
 
     AnswerWriter writer() {
         return writer;
     }
 
-    void refuseNewRequests() {
-        stopping.set(true);
-    }
-
-    /** Closes each connection after its next answer, so that callers reconnect to other hosts. */
-    void disableKeepAlive() {
-        keepAliveDisabled.set(true);
-    }
-
-    /** Refuses requests that may still be in progress after a time. */
-    void refuseRequestsBeyond(long milliseconds) {
-        latestDeadlineMilliseconds.set(milliseconds);
-    }
-
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
-        if (stopping.get() || keepAliveDisabled.get()) {
-            closeAfterAnswer(response);
+        LookAhead lookAhead = AnswerDelivery.callerOf(request).lookAhead();
+        Optional<EarlyRequest> early = lookAhead.take(request);
+        if (admission.closesConnections() && !lookAhead.hasStarted()) {
+            AnswerDelivery.closeAfterAnswer(request, response);
         }
-        if (stopping.get()) {
-            requestsInProgress.begin();
-            refuse(
-                    stopping("try another entry host"),
-                    request,
-                    response,
-                    Callback.from(callback, requestsInProgress::end));
-        } else if (!requestsInProgress.begin(options.concurrentRequestLimit())) {
-            refuse(
-                    new ResultException(
-                            ResultCode.TOO_MANY_REQUESTS,
-                            "limit=" + options.concurrentRequestLimit(),
-                            BodyMemoryBudget.RETRY_DELAY_MILLISECONDS),
+        EarlyRequest.State state = early.map(EarlyRequest::state).orElse(EarlyRequest.State.PARSED);
+        if (state == EarlyRequest.State.STARTED) {
+            answerEarly(early.get(), request, response, callback);
+        } else if (state == EarlyRequest.State.REFUSED) {
+            refuseCounted(early.get().refusal(), request, response, callback);
+        } else if (admission.isStopping()) {
+            refuseCounted(
+                    RequestAdmission.stopping("try another entry host"),
                     request,
                     response,
                     callback);
         } else {
-            readAndAnswer(request, response, Callback.from(callback, requestsInProgress::end));
+            long arrivedMilliseconds =
+                    early.map(parsed -> parsed.request().arrivedMilliseconds())
+                            .orElseGet(clock::monotonicMilliseconds);
+            begin(CallerRequest.of(request, arrivedMilliseconds), request, response, callback);
         }
         return true;
     }
 
-    private void readAndAnswer(Request request, Response response, Callback callback) {
+    private void answerEarly(
+            EarlyRequest early, Request request, Response response, Callback callback) {
+        AcceptedRequest accepted = early.accepted();
+        eventLog.record(
+                LogEvent.named("started_early")
+                        .with("request", accepted.requestId())
+                        .with(
+                                "ahead_ms",
+                                clock.monotonicMilliseconds() - early.startedMilliseconds()));
+        Callback releasing = Callback.from(callback, early::release);
+        if (delivery.closeIfCallerLeft(accepted, request, releasing)) {
+            early.cancel();
+        } else {
+            delivery.deliver(accepted, early.answer(), request, response, releasing);
+        }
+    }
+
+    private void begin(CallerRequest head, Request request, Response response, Callback callback) {
+        try {
+            admission.begin();
+        } catch (ResultException refusal) {
+            refuse(refusal, request, response, callback);
+            return;
+        }
+        readAndAnswer(head, request, response, ending(callback));
+    }
+
+    private Callback ending(Callback callback) {
+        return Callback.from(callback, admission.requestsInProgress()::end);
+    }
+
+    /** Refuses a request, which counts as in progress until the refusal is written. */
+    private void refuseCounted(
+            ResultException refusal, Request request, Response response, Callback callback) {
+        admission.requestsInProgress().begin();
+        refuse(refusal, request, response, ending(callback));
+    }
+
+    private void readAndAnswer(
+            CallerRequest head, Request request, Response response, Callback callback) {
         AcceptedRequest accepted;
         BodyMemoryBudget.Reservation reservation;
         try {
-            accepted = protocol.read(request);
-            checkDeadline(accepted);
+            accepted = protocol.read(head);
+            admission.checkDeadline(accepted);
             checkLength(request);
             reservation = bodyMemoryBudget.reserve(request.getLength());
         } catch (ResultException refusal) {
@@ -139,18 +162,6 @@
         reader.run();
     }
 
-    /** A request that the shutdown would cut is refused, since another host can serve it. */
-    private void checkDeadline(AcceptedRequest accepted) {
-        if (accepted.deadlineMilliseconds() > latestDeadlineMilliseconds.get()) {
-            throw stopping("the deadline lies beyond the end of the shutdown");
-        }
-    }
-
-    private static ResultException stopping(String detail) {
-        return new ResultException(
-                ResultCode.STOPPING, detail, RETRY_DELAY_WHEN_STOPPING_MILLISECONDS);
-    }
-
     private void checkLength(Request request) {
         if (request.getLength() > options.bodyLimitBytes()) {
             throw new ResultException(
@@ -164,79 +175,13 @@
             Request request,
             Response response,
             Callback callback) {
-        long readMilliseconds = clock.monotonicMilliseconds();
-        CloseDetectingEndPoint caller = callerOf(request);
-        if (caller.isClosedBeforeProcessing()) {
-            counters.add(Counter.CALLERS_LEFT);
-            EofException closed = new EofException("caller closed the connection");
-            logIfUndelivered(accepted, "reading", readMilliseconds, closed);
-            caller.close();
-            callback.failed(closed);
+        if (delivery.closeIfCallerLeft(accepted, request, callback)) {
             return;
         }
+        CloseDetectingEndPoint caller = AnswerDelivery.callerOf(request);
         CompletableFuture<Answer> answered =
-                startProcessing(accepted, body, () -> !caller.isClosedByCaller());
-        Callback logging =
-                Callback.from(
-                        callback,
-                        failure ->
-                                logIfUndelivered(
-                                        accepted,
-                                        answered.isCancelled() ? "processing" : "answering",
-                                        readMilliseconds,
-                                        failure));
-        caller.setCloseListener(() -> answered.cancel(false));
-        Futures.whenDone(
-                answered,
-                (answer, failure) -> {
-                    caller.clearCloseListener();
-                    if (caller.hasDiscardedInput()) {
-                        closeAfterAnswer(response);
-                    }
-                    if (failure == null) {
-                        writer.write(answer, accepted.requestId(), response, logging);
-                    } else if (answered.isCancelled()) {
-                        caller.close();
-                        logging.failed(new EofException("caller closed the connection"));
-                    } else {
-                        ResultException result = ResultException.from(failure);
-                        writer.write(result, accepted.requestId(), response, logging);
-                    }
-                });
-    }
-
-    private static CloseDetectingEndPoint callerOf(Request request) {
-        return (CloseDetectingEndPoint)
-                request.getConnectionMetaData().getConnection().getEndPoint();
-    }
-
-    private static void closeAfterAnswer(Response response) {
-        response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
-    }
-
-    private CompletableFuture<Answer> startProcessing(
-            AcceptedRequest accepted, byte[] body, CallerConnection connection) {
-        try {
-            return accepted.process(body, connection);
-        } catch (RuntimeException | Error failure) {
-            eventLog.record(
-                    LogEvent.named("processing_failed")
-                            .with("request", accepted.requestId())
-                            .with("cause", failure));
-            return CompletableFuture.failedFuture(failure);
-        }
-    }
-
-    private void logIfUndelivered(
-            AcceptedRequest accepted, String stage, long readMilliseconds, Throwable failure) {
-        if (failure != null) {
-            eventLog.record(
-                    LogEvent.named("caller_gone")
-                            .with("request", accepted.requestId())
-                            .with("stage", stage)
-                            .with("took_ms", clock.monotonicMilliseconds() - readMilliseconds)
-                            .with("cause", failure));
-        }
+                processor.start(accepted, body, () -> !caller.isClosedByCaller());
+        delivery.deliver(accepted, answered, request, response, callback);
     }
 
     private void refuse(
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerProtocol.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerProtocol.java
@@ -9,13 +9,13 @@
 public interface CallerProtocol {
 
     /**
-     * Reads the head of a request.
+     * Reads the head of a request. It is read again if the request could not be started early.
      *
-     * @param request the request, whose body has not been read yet
+     * @param request the head, with the time of its arrival
      * @return the accepted request
      * @throws ResultException if the request is refused
      */
-    AcceptedRequest read(Request request);
+    AcceptedRequest read(CallerRequest request);
 
     /**
      * Returns the identifier of a request, also of one that {@link #read} refuses.
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerServer.java
@@ -62,8 +62,7 @@
             CallerServerOptions options) {
         this(
                 new StandardCallerProtocol(
-                        new RequestHeadReader(
-                                configuration, clock, options.defaultDeadlineMilliseconds()),
+                        new RequestHeadReader(configuration, options.defaultDeadlineMilliseconds()),
                         handler),
                 clock,
                 eventLog,
@@ -120,7 +119,7 @@
                 new CloseDetectingConnector(
                         server,
                         new HttpConnectionFactory(newConfiguration()),
-                        handler.bodyMemoryBudget());
+                        handler.connectionParts());
         created.setHost(options.host());
         created.setPort(options.port());
         created.setIdleTimeout(options.idleTimeoutMilliseconds());
@@ -179,12 +178,17 @@
      * @return the number of requests
      */
     public int requestsInProgress() {
-        return handler.requestsInProgress().count();
+        return handler.admission().requestsInProgress().count();
+    }
+
+    /** Returns the bytes held for bodies, bytes sent ahead, and answers that wait. */
+    long reservedBytes() {
+        return handler.connectionParts().memoryBudget().reservedBytes();
     }
 
     /** Refuses new requests from now on; those in progress continue. */
     public void refuseNewRequests() {
-        handler.refuseNewRequests();
+        handler.admission().refuseNewRequests();
     }
 
     /**
@@ -193,12 +197,12 @@
      * @param milliseconds monotonic milliseconds
      */
     public void refuseRequestsBeyond(long milliseconds) {
-        handler.refuseRequestsBeyond(milliseconds);
+        handler.admission().refuseRequestsBeyond(milliseconds);
     }
 
     /** Closes each connection after its next answer; requests are still accepted. */
     public void disableKeepAlive() {
-        handler.disableKeepAlive();
+        handler.admission().disableKeepAlive();
     }
 
     /** Accepts no new connections from now on. */
@@ -211,7 +215,10 @@
      */
     public void stop() {
         refuseNewRequests();
-        int cut = handler.requestsInProgress().awaitNone(options.drainTimeoutMilliseconds());
+        int cut =
+                handler.admission()
+                        .requestsInProgress()
+                        .awaitNone(options.drainTimeoutMilliseconds());
         eventLog.record(LogEvent.named("caller_server_stopped").with("requests_cut", cut));
         try {
             server.stop();
@@ -227,12 +234,12 @@
         private static final int ACCEPTORS = 0;
         private static final int SELECTORS = 1;
 
-        private final BodyMemoryBudget memoryBudget;
+        private final ConnectionParts parts;
 
         private CloseDetectingConnector(
-                Server server, HttpConnectionFactory factory, BodyMemoryBudget memoryBudget) {
+                Server server, HttpConnectionFactory factory, ConnectionParts parts) {
             super(server, ACCEPTORS, SELECTORS, factory);
-            this.memoryBudget = memoryBudget;
+            this.parts = parts;
         }
 
         @Override
@@ -240,7 +247,7 @@
                 SocketChannel channel, ManagedSelector selector, SelectionKey key) {
             SocketChannelEndPoint endPoint =
                     new CloseDetectingEndPoint(
-                            channel, selector, key, getScheduler(), getExecutor(), memoryBudget);
+                            channel, selector, key, getScheduler(), getExecutor(), parts);
             endPoint.setIdleTimeout(getIdleTimeout());
             return endPoint;
         }
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CloseDetectingEndPoint.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CloseDetectingEndPoint.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.Executor;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.server.internal.HttpConnection;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Invocable;
@@ -17,12 +18,7 @@
  * connection itself does not read. To do so it reads ahead; bytes of a following (pipelined)
  * request that arrive meanwhile are buffered for the HTTP connection.
  */
-final class CloseDetectingEndPoint extends SocketChannelEndPoint {
-
-    private static final int READ_BYTES = 1024;
-
-    /** Bytes that one call reads at most, so that a caller that floods delays no other. */
-    private static final int READ_LIMIT_BYTES = 64 * 1024;
+final class CloseDetectingEndPoint extends SocketChannelEndPoint implements LookAhead.Input {
 
     private static final int END_OF_INPUT = -1;
 
@@ -47,6 +43,8 @@
 
     private final Executor executor;
     private final ReadAheadBuffer readAheadBuffer;
+    private final RequestBoundary boundary;
+    private final LookAhead lookAhead;
     private boolean endOfInput;
     private boolean readAheadPending;
     private Callback pendingReader;
@@ -58,16 +56,19 @@
             SelectionKey key,
             Scheduler scheduler,
             Executor executor,
-            BodyMemoryBudget memoryBudget) {
+            ConnectionParts parts) {
         super(channel, selector, key, scheduler);
         this.executor = executor;
-        this.readAheadBuffer = new ReadAheadBuffer(memoryBudget);
+        this.readAheadBuffer = new ReadAheadBuffer(parts.memoryBudget());
+        this.boundary = new RequestBoundary(parts.parser());
+        this.lookAhead = parts.newLookAhead(this);
     }
 
     /**
      * Starts to read ahead in order to detect that the caller closes the connection.
      *
-     * @param listener runs once when the caller has closed the connection
+     * @param listener runs when the caller has closed the connection, once for each thread that
+     *     finds this, so that the request is cancelled when {@link #isClosedByCaller} returns true
      */
     void setCloseListener(Runnable listener) {
         boolean closed;
@@ -98,26 +99,29 @@
      */
     boolean isClosedBeforeProcessing() {
         synchronized (stateLock) {
-            readAhead();
+            boolean unused = readAhead();
             return endOfInput || !isOpen();
         }
     }
 
     /**
-     * Does the same while a request is in progress, that is, while a listener is set. Otherwise it
-     * reads nothing, since the HTTP connection would wait for the bytes that were read here.
+     * Does the same while a request is in progress, that is, while a listener is set, or bytes are
+     * buffered. Otherwise it reads nothing, since the HTTP connection would wait for the bytes that
+     * were read here.
      *
      * @return true if the caller is known to have closed the connection
      */
-    boolean isClosedByCaller() {
+    @Override
+    public boolean isClosedByCaller() {
         boolean closed;
         Runnable listener;
         synchronized (stateLock) {
-            if (closeListener != null) {
-                readAhead();
+            if ((closeListener != null || readAheadBuffer.hasRemaining()) && readAhead()) {
+                // Not here, since the gateway that asks may hold locks.
+                executor.execute(lookAhead::advance);
             }
             closed = endOfInput || !isOpen();
-            listener = closed ? takeCloseListener() : null;
+            listener = closed ? closeListener : null;
         }
         notifyListeners(null, listener);
         return closed;
@@ -133,18 +137,30 @@
         }
     }
 
+    LookAhead lookAhead() {
+        return lookAhead;
+    }
+
+    /** Tells whether the HTTP connection has read nothing behind a request without a body. */
+    boolean isAtEndOfRequest() {
+        synchronized (stateLock) {
+            return boundary.isExact();
+        }
+    }
+
+    @Override
+    public ByteBuffer copyFrom(int skippedBytes) {
+        synchronized (stateLock) {
+            return readAheadBuffer.copyFrom(skippedBytes);
+        }
+    }
+
     private void registerReadAhead() {
         if (!readAheadPending) {
             readAheadPending = super.tryFillInterested(readAheadCallback);
         }
     }
 
-    private Runnable takeCloseListener() {
-        Runnable listener = closeListener;
-        closeListener = null;
-        return listener;
-    }
-
     private void onReadable() {
         Callback waitingReader;
         Runnable listener = null;
@@ -153,33 +169,29 @@
             waitingReader = pendingReader;
             pendingReader = null;
             if (waitingReader == null) {
-                readAhead();
+                boolean unused = readAhead();
                 if (endOfInput) {
-                    listener = takeCloseListener();
+                    listener = closeListener;
                 } else if (closeListener != null || !readAheadBuffer.hasRemaining()) {
                     registerReadAhead();
                 }
             }
         }
         notifyListeners(waitingReader, listener);
+        if (waitingReader == null) {
+            lookAhead.advance();
+        }
     }
 
     /** Buffers bytes that have arrived, and notes whether the caller has closed the connection. */
-    private void readAhead() {
-        int total = 0;
+    private boolean readAhead() {
         try {
-            int read = 1;
-            while (read > 0 && total < READ_LIMIT_BYTES && !endOfInput) {
-                ByteBuffer buffer = BufferUtil.allocate(READ_BYTES);
-                read = super.fill(buffer);
-                endOfInput = read < 0;
-                if (read > 0) {
-                    readAheadBuffer.add(buffer);
-                    total += read;
-                }
-            }
+            int read = endOfInput ? END_OF_INPUT : readAheadBuffer.addFrom(super::fill);
+            endOfInput = read < 0;
+            return read > 0;
         } catch (IOException failure) {
             endOfInput = true;
+            return false;
         }
     }
 
@@ -190,7 +202,7 @@
             readAheadPending = false;
             waitingReader = pendingReader;
             pendingReader = null;
-            listener = takeCloseListener();
+            listener = closeListener;
         }
         if (waitingReader != null) {
             waitingReader.failed(failure);
@@ -212,6 +224,7 @@
         synchronized (stateLock) {
             readAheadBuffer.clear();
         }
+        lookAhead.close();
         super.onClose(cause);
     }
 
@@ -258,12 +271,41 @@
     public int fill(ByteBuffer buffer) throws IOException {
         synchronized (stateLock) {
             if (readAheadBuffer.hasRemaining()) {
-                return readAheadBuffer.moveTo(buffer);
+                return fillFromBuffer(buffer);
             }
             if (endOfInput || readAheadBuffer.isOverflowed()) {
                 return END_OF_INPUT;
             }
-            return super.fill(buffer);
+            int read = super.fill(buffer);
+            return read > 0 ? cutBehindRequest(buffer, read) : read;
         }
     }
+
+    private int fillFromBuffer(ByteBuffer buffer) {
+        ByteBuffer next = readAheadBuffer.peek();
+        next.limit(next.position() + Math.min(next.remaining(), BufferUtil.space(buffer)));
+        int count = boundary.find(next, startsRequest());
+        return readAheadBuffer.moveTo(buffer, count);
+    }
+
+    /** Takes back what was received behind the request that the HTTP connection reads. */
+    private int cutBehindRequest(ByteBuffer buffer, int read) {
+        int start = buffer.limit() - read;
+        int count = boundary.find(buffer.duplicate().position(start), startsRequest());
+        if (count == read) {
+            return read;
+        }
+        if (!readAheadBuffer.takeBack(buffer.duplicate().position(start + count))) {
+            boundary.giveUp();
+            return read;
+        }
+        buffer.limit(start + count);
+        return count;
+    }
+
+    /** Whether the HTTP connection has read nothing of its next request. */
+    private boolean startsRequest() {
+        return getConnection() instanceof HttpConnection connection
+                && connection.getParser().isStart();
+    }
 }
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/ProtocolErrorHandler.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/ProtocolErrorHandler.java
@@ -19,6 +19,10 @@
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
+        if (request.getConnectionMetaData().getConnection().getEndPoint()
+                instanceof CloseDetectingEndPoint caller) {
+            caller.lookAhead().close();
+        }
         ResultCode code = codeOf(response.getStatus());
         Object message = request.getAttribute(ERROR_MESSAGE);
         writer.write(new ResultException(code, String.valueOf(message)), null, response, callback);
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/ReadAheadBuffer.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/ReadAheadBuffer.java
@@ -1,5 +1,6 @@
 package org.siskinramp.daemon.caller;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.eclipse.jetty.util.BufferUtil;
 import org.siskinramp.result.ResultException;
@@ -14,8 +15,22 @@
     /** Room for a following request of usual size. */
     static final int LIMIT_BYTES = 16 * 1024;
 
+    private static final int READ_BYTES = 1024;
+
+    /** Bytes that one call reads at most, so that a caller that floods delays no other. */
+    private static final int READ_LIMIT_BYTES = 64 * 1024;
+
+    /** Reads bytes that have arrived on a connection. */
+    @FunctionalInterface
+    interface Source {
+
+        /** Appends bytes; returns their number, which is negative at the end of the input. */
+        int fill(ByteBuffer target) throws IOException;
+    }
+
     private final BodyMemoryBudget.Reservation reservation;
     private ByteBuffer bytes = BufferUtil.EMPTY_BUFFER;
+    private int returnedBytes;
     private boolean overflowed;
 
     /**
@@ -36,10 +51,29 @@
         return overflowed;
     }
 
+    /**
+     * Adds the bytes that have arrived.
+     *
+     * @return their number, or a negative number if the input has ended
+     */
+    int addFrom(Source source) throws IOException {
+        int total = 0;
+        int read = 1;
+        while (read > 0 && total < READ_LIMIT_BYTES) {
+            ByteBuffer buffer = BufferUtil.allocate(READ_BYTES);
+            read = source.fill(buffer);
+            if (read > 0) {
+                add(buffer);
+                total += read;
+            }
+        }
+        return read < 0 ? read : total;
+    }
+
     /** Adds bytes, or discards all if they exceed a limit. */
     void add(ByteBuffer added) {
         int total = bytes.remaining() + added.remaining();
-        if (overflowed || total > LIMIT_BYTES || !reserve(total)) {
+        if (overflowed || total - returnedBytes > LIMIT_BYTES || !reserve(total)) {
             overflowed = true;
             clear();
             return;
@@ -58,9 +92,41 @@
         }
     }
 
-    /** Moves bytes to the end of a buffer; returns their number. */
-    int moveTo(ByteBuffer target) {
-        int moved = BufferUtil.append(target, bytes);
+    /**
+     * Takes back the end of what the HTTP connection was about to read, which is not counted
+     * towards the limit. Must be called while this is empty.
+     *
+     * @return false if there is no memory for it
+     */
+    boolean takeBack(ByteBuffer returned) {
+        if (!reserve(returned.remaining())) {
+            return false;
+        }
+        returnedBytes = returned.remaining();
+        bytes = ByteBuffer.allocate(returnedBytes).put(returned).flip();
+        return true;
+    }
+
+    /** Returns the bytes to read, without consuming them. */
+    ByteBuffer peek() {
+        return bytes.asReadOnlyBuffer();
+    }
+
+    /** Returns a copy of the bytes after some that are skipped; empty if there are none. */
+    ByteBuffer copyFrom(int skippedBytes) {
+        int count = Math.max(0, bytes.remaining() - skippedBytes);
+        ByteBuffer copy = ByteBuffer.allocate(count);
+        if (count > 0) {
+            copy.put(bytes.slice(bytes.position() + skippedBytes, count)).flip();
+        }
+        return copy;
+    }
+
+    /** Moves up to a number of bytes to the end of a buffer; returns how many. */
+    int moveTo(ByteBuffer target, int limitBytes) {
+        int moved = BufferUtil.append(target, bytes.slice(bytes.position(), limitBytes));
+        bytes.position(bytes.position() + moved);
+        returnedBytes = Math.max(0, returnedBytes - moved);
         if (!bytes.hasRemaining()) {
             clear();
         }
@@ -70,6 +136,7 @@
     /** Drops all bytes. */
     void clear() {
         bytes = BufferUtil.EMPTY_BUFFER;
+        returnedBytes = 0;
         reservation.release();
     }
 }
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/RequestHeadReader.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/RequestHeadReader.java
@@ -6,7 +6,6 @@
 import java.util.UUID;
 import java.util.function.Supplier;
 import org.eclipse.jetty.http.HttpURI;
-import org.eclipse.jetty.server.Request;
 import org.siskinramp.configuration.Configuration;
 import org.siskinramp.configuration.Service;
 import org.siskinramp.daemon.exchange.ConnectionHeaders;
@@ -15,7 +14,6 @@
 import org.siskinramp.request.RequestKind;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.result.ResultException;
-import org.siskinramp.time.Clock;
 
 /** Validates the headers of a request and determines its service and kind. */
 final class RequestHeadReader {
@@ -31,22 +29,19 @@
             Set.of("request-id", "caller", "request-deadline", "attempt");
 
     private final Supplier<Configuration> configuration;
-    private final Clock clock;
     private final long defaultDeadlineMilliseconds;
 
-    RequestHeadReader(
-            Supplier<Configuration> configuration, Clock clock, long defaultDeadlineMilliseconds) {
+    RequestHeadReader(Supplier<Configuration> configuration, long defaultDeadlineMilliseconds) {
         this.configuration = configuration;
-        this.clock = clock;
         this.defaultDeadlineMilliseconds = defaultDeadlineMilliseconds;
     }
 
     /** Reads the headers; throws a {@link ResultException} if they are invalid. */
-    RequestHead read(Request request) {
-        long arrivedMilliseconds = clock.monotonicMilliseconds();
-        String path = request.getHttpURI().getCanonicalPath();
+    RequestHead read(CallerRequest request) {
+        long arrivedMilliseconds = request.arrivedMilliseconds();
+        String path = request.uri().getCanonicalPath();
         Service service = serviceOf(path);
-        RequestKind kind = kindOf(service, request.getMethod(), path);
+        RequestKind kind = kindOf(service, request.method(), path);
         String caller =
                 nameHeader(request, CALLER)
                         .orElseThrow(() -> refusal(ResultCode.CALLER_MISSING, "path=" + path));
@@ -55,8 +50,8 @@
                 new RequestKey(caller, requestId),
                 service.name(),
                 kind,
-                request.getMethod(),
-                target(request.getHttpURI()),
+                request.method(),
+                target(request.uri()),
                 forwardedHeaders(request),
                 arrivedMilliseconds,
                 arrivedMilliseconds + timeLimitMilliseconds(request, service));
@@ -86,7 +81,7 @@
                                         : new RequestKind("write", method, path, false, 1));
     }
 
-    private static String requestId(Request request, RequestKind kind) {
+    private static String requestId(CallerRequest request, RequestKind kind) {
         Optional<String> identifier = nameHeader(request, REQUEST_ID);
         if (identifier.isEmpty() && !kind.idempotent()) {
             throw refusal(ResultCode.REQUEST_ID_MISSING, "kind=" + kind.name());
@@ -94,8 +89,8 @@
         return identifier.orElseGet(() -> UUID.randomUUID().toString());
     }
 
-    private static Optional<String> nameHeader(Request request, String header) {
-        List<String> values = request.getHeaders().getValuesList(header);
+    private static Optional<String> nameHeader(CallerRequest request, String header) {
+        List<String> values = request.headers().getValuesList(header);
         if (values.isEmpty()) {
             return Optional.empty();
         }
@@ -113,8 +108,8 @@
                 && value.chars().allMatch(c -> c > ' ' && c < 127 && c != '/');
     }
 
-    private long timeLimitMilliseconds(Request request, Service service) {
-        List<String> values = request.getHeaders().getValuesList(REQUEST_DEADLINE);
+    private long timeLimitMilliseconds(CallerRequest request, Service service) {
+        List<String> values = request.headers().getValuesList(REQUEST_DEADLINE);
         long requestedMilliseconds =
                 values.isEmpty() ? defaultDeadlineMilliseconds : parseMilliseconds(values.get(0));
         return Math.min(requestedMilliseconds, service.timeLimitMilliseconds());
@@ -136,9 +131,9 @@
         return uri.getPathQuery();
     }
 
-    private static List<Header> forwardedHeaders(Request request) {
+    private static List<Header> forwardedHeaders(CallerRequest request) {
         List<Header> headers =
-                request.getHeaders().stream()
+                request.headers().stream()
                         .map(field -> new Header(field.getName(), field.getValue()))
                         .toList();
         return ConnectionHeaders.without(headers, PROTOCOL_HEADERS);
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/StandardCallerProtocol.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/StandardCallerProtocol.java
@@ -27,7 +27,7 @@
     }
 
     @Override
-    public AcceptedRequest read(Request request) {
+    public AcceptedRequest read(CallerRequest request) {
         return new StandardRequest(reader.read(request), handler);
     }
 
@@ -81,6 +81,11 @@
             return head.deadlineMilliseconds();
         }
 
+        @Override
+        public boolean mayStartEarly() {
+            return head.kind().idempotent();
+        }
+
         @Override
         public CompletableFuture<Answer> process(byte[] body, CallerConnection connection) {
             return handler.handle(head.withBody(body));
--- a/daemon/src/test/java/org/siskinramp/daemon/caller/CallerServerStopTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/caller/CallerServerStopTest.java
@@ -68,7 +68,7 @@
     private final class BlockingRefusalProtocol implements CallerProtocol {
 
         @Override
-        public AcceptedRequest read(Request request) {
+        public AcceptedRequest read(CallerRequest request) {
             throw new IllegalStateException("not reached");
         }
 
--- a/daemon/src/test/java/org/siskinramp/daemon/caller/DepartedCallerTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/caller/DepartedCallerTest.java
@@ -78,8 +78,8 @@
     private final class ScriptedProtocol implements CallerProtocol {
 
         @Override
-        public AcceptedRequest read(Request request) {
-            String path = request.getHttpURI().getPath();
+        public AcceptedRequest read(CallerRequest request) {
+            String path = request.uri().getPath();
             if (path.equals("/delayed")) {
                 reading.countDown();
                 awaitUninterruptibly(readingAllowed);
--- a/library/src/main/java/org/siskinramp/log/Counter.java
+++ b/library/src/main/java/org/siskinramp/log/Counter.java
@@ -14,6 +14,8 @@
     REQUESTS_FAILED,
     /** Non-idempotent requests answered with the stored answer of an earlier run. */
     REQUESTS_REPLAYED,
+    /** Requests started while an earlier one of their connection was in progress. */
+    REQUESTS_STARTED_EARLY,
     /** Requests whose caller disconnected before the answer. */
     CALLERS_LEFT,
     /** Attempts sent to backend servers. */
