--- a/daemon/src/main/java/org/siskinramp/daemon/peer/MessageTypes.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/peer/MessageTypes.java
@@ -19,6 +19,9 @@
 import org.siskinramp.peer.OperatorNews;
 import org.siskinramp.peer.PeerMessage;
 import org.siskinramp.peer.QuarantineNews;
+import org.siskinramp.peer.QuotaAsk;
+import org.siskinramp.peer.QuotaGrant;
+import org.siskinramp.peer.QuotaSurplus;
 import org.siskinramp.peer.RoutesAsk;
 import org.siskinramp.peer.SlotRelease;
 import org.siskinramp.peer.SuspectRequest;
@@ -50,6 +53,9 @@
                     Map.entry(FeedNews.class, 20),
                     Map.entry(OperatorNews.class, 23),
                     Map.entry(RoutesAsk.class, 22),
+                    Map.entry(QuotaSurplus.class, 25),
+                    Map.entry(QuotaAsk.class, 26),
+                    Map.entry(QuotaGrant.class, 27),
                     Map.entry(Hello.class, 100),
                     Map.entry(Receipt.class, 101));
 
--- a/daemon/src/test/java/org/siskinramp/daemon/peer/PeerCodecTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/peer/PeerCodecTest.java
@@ -29,6 +29,12 @@
 import org.siskinramp.peer.LoanReturn;
 import org.siskinramp.peer.OperatorNews;
 import org.siskinramp.peer.PeerMessage;
+import org.siskinramp.peer.QuotaAsk;
+import org.siskinramp.peer.QuotaGrant;
+import org.siskinramp.peer.QuotaNeed;
+import org.siskinramp.peer.QuotaStamp;
+import org.siskinramp.peer.QuotaSurplus;
+import org.siskinramp.peer.QuotaTokens;
 import org.siskinramp.peer.RouteLine;
 import org.siskinramp.peer.RoutesAsk;
 import org.siskinramp.peer.ServerAllowance;
@@ -100,6 +106,12 @@
                         4,
                         17,
                         2));
+        QuotaStamp stamp = new QuotaStamp(1L << 40, 2, 1L << 41, -1, 0);
+        List<QuotaTokens> tokens =
+                List.of(new QuotaTokens("crew", List.of(new QuotaTokens.Lot(1_400, 1_923_809))));
+        assertRoundTrip(new QuotaSurplus(stamp, true, tokens));
+        assertRoundTrip(new QuotaAsk(stamp, false, List.of(new QuotaNeed("crew", 1_000_000))));
+        assertRoundTrip(new QuotaGrant(stamp, true, tokens, List.of("crew")));
         assertRoundTrip(
                 new OperatorNews(
                         9,
--- a/library/src/main/java/org/siskinramp/relay/FeedRelay.java
+++ b/library/src/main/java/org/siskinramp/relay/FeedRelay.java
@@ -19,6 +19,7 @@
 import org.siskinramp.peer.RouteLine;
 import org.siskinramp.peer.RoutesAsk;
 import org.siskinramp.peer.SeedName;
+import org.siskinramp.quota.HostCount;
 import org.siskinramp.time.Clock;
 import org.siskinramp.time.Scheduler;
 
@@ -57,8 +58,6 @@
     /** A healthy store answers a starting host well within this time. */
     private static final long FIRST_SEED_REQUEST_DELAY_MILLISECONDS = 300;
 
-    private static final int UNKNOWN_HOST_COUNT = 0;
-
     private final Clock clock;
     private final Scheduler scheduler;
     private final EventLog eventLog;
@@ -71,6 +70,7 @@
     private final UpdateReassembler updateReassembler = new UpdateReassembler();
     private final RouteRequests routeRequests = new RouteRequests();
     private final LastPeerRead lastPeerRead = new LastPeerRead();
+    private final HostCounting hostCounting;
     private final RestoreDetector serversRestore = new RestoreDetector();
     private final RestoreDetector operatorRestore = new RestoreDetector();
     private final SeedRotation seedRotation;
@@ -98,6 +98,7 @@
             EventLog eventLog,
             IntConsumer hostCountListener) {
         this.options = options;
+        this.hostCounting = new HostCounting(hostTable, options.firstStart());
         this.seedRotation = new SeedRotation(options.seeds());
         this.clock = clock;
         this.scheduler = scheduler;
@@ -169,8 +170,9 @@
         boolean isPublished;
         synchronized (this) {
             hostTable.apply(changes, now());
-            count = countHosts();
+            count = hostCounting.count(self, now());
             isPublished = hostTable.contains(self);
+            hostCounting.recordRead(self, now());
         }
         reportHostCount(count);
         if (publisher.publishOnce(isPublished)) {
@@ -179,16 +181,8 @@
         renewSubscriptions();
     }
 
-    /**
-     * Counts the hosts. While the table lacks this host it may lack others that start at the same
-     * time, so the count is unknown.
-     */
-    private int countHosts() {
-        return hostTable.contains(self) ? hostTable.count(self.name(), now()) : UNKNOWN_HOST_COUNT;
-    }
-
     private void reportHostCount(int count) {
-        if (count != UNKNOWN_HOST_COUNT) {
+        if (hostCounting.recordCount(count, now())) {
             hostCountListener.accept(count);
         }
     }
@@ -243,7 +237,7 @@
             messages =
                     updateBuilder.messagesFor(
                             host,
-                            countHosts(),
+                            hostCounting.count(self, now()),
                             timeSinceReadGapMilliseconds(),
                             lastPeerRead.hops(followers.servers()));
         }
@@ -318,11 +312,7 @@
     private void onRequest(String host, RoutesAsk request) {
         List<OperatorNews> messages;
         synchronized (this) {
-            messages =
-                    operatorReplica.version() > request.operatorVersion()
-                            ? operatorReplica.snapshotMessages(
-                                    followers.operator().ageMilliseconds())
-                            : List.of();
+            messages = operatorReplica.messagesFor(request, followers.operator().ageMilliseconds());
         }
         messages.forEach(message -> peerSender.send(host, message));
     }
@@ -453,6 +443,16 @@
         return sourceSelector.isReader(now());
     }
 
+    @Override
+    public synchronized Optional<String> source() {
+        return sourceSelector.reader(now());
+    }
+
+    @Override
+    public HostCount hostCount() {
+        return hostCounting.current(now(), followers.hosts());
+    }
+
     private void subscribeTo(String host) {
         peerSender.send(host, new FeedAsk(self.address(), followers.servers().version()));
     }
--- a/library/src/main/java/org/siskinramp/relay/OperatorTableReplica.java
+++ b/library/src/main/java/org/siskinramp/relay/OperatorTableReplica.java
@@ -8,6 +8,7 @@
 import org.siskinramp.follow.OperatorChange;
 import org.siskinramp.peer.OperatorNews;
 import org.siskinramp.peer.RouteLine;
+import org.siskinramp.peer.RoutesAsk;
 import org.siskinramp.route.RouteTable;
 import org.siskinramp.workspace.Workspace;
 import org.siskinramp.workspace.WorkspaceTable;
@@ -56,6 +57,13 @@
                 : snapshotMessages(ageMilliseconds);
     }
 
+    /** Builds the answer to a request; none if the sender has the same version or a newer one. */
+    List<OperatorNews> messagesFor(RoutesAsk request, long ageMilliseconds) {
+        return version() > request.operatorVersion()
+                ? snapshotMessages(ageMilliseconds)
+                : List.of();
+    }
+
     /** Builds a snapshot of the table, in as many messages as the routes need. */
     List<OperatorNews> snapshotMessages(long ageMilliseconds) {
         List<RouteLine> lines = routes.routes().stream().map(RouteLine::of).toList();
--- a/library/src/main/java/org/siskinramp/relay/RelayTopology.java
+++ b/library/src/main/java/org/siskinramp/relay/RelayTopology.java
@@ -1,6 +1,8 @@
 package org.siskinramp.relay;
 
 import java.util.List;
+import java.util.Optional;
+import org.siskinramp.quota.HostCount;
 
 /** Provides the roles of other hosts in the relay of updates. */
 public interface RelayTopology {
@@ -33,4 +35,19 @@
      * @return true if this host subscribed to it, or has not read the hosts table yet
      */
     boolean acceptsUpdatesFrom(String host);
+
+    /**
+     * Returns the reader that this host follows.
+     *
+     * @return the name of a reader, which is this host if it is a reader; empty if this host
+     *     follows none
+     */
+    Optional<String> source();
+
+    /**
+     * Returns how many hosts there are, and how certain that is.
+     *
+     * @return the count of this host
+     */
+    HostCount hostCount();
 }
--- a/library/src/main/java/org/siskinramp/relay/SourceSelector.java
+++ b/library/src/main/java/org/siskinramp/relay/SourceSelector.java
@@ -30,6 +30,7 @@
     private final EventLog eventLog;
     private final SourceTracker sourceTracker = new SourceTracker();
     private String lastLoggedSource = NO_SOURCE;
+    private Optional<String> lastReader = Optional.empty();
 
     SourceSelector(
             HostEntry self,
@@ -97,6 +98,20 @@
         logSource(now);
     }
 
+    /**
+     * Returns this host if it is a reader, or the reader that was its source last. While the store
+     * is unavailable no updates are fresh, but hosts still reach each other.
+     */
+    Optional<String> reader(long now) {
+        if (isReader(now)) {
+            return Optional.of(self.name());
+        }
+        List<String> readers = names(hostTable.readers(now));
+        Optional<String> source = sourceTracker.current(now).filter(readers::contains);
+        lastReader = source.or(() -> lastReader.filter(readers::contains));
+        return lastReader;
+    }
+
     /** Tells whether this host recently subscribed to a host. */
     boolean hasSubscribedTo(String host) {
         return sourceTracker.hasSubscribedTo(host);
