--- a/library/src/test/java/org/siskinramp/relay/RolloutSimulation.java
+++ b/library/src/test/java/org/siskinramp/relay/RolloutSimulation.java
@@ -10,6 +10,7 @@
 import org.siskinramp.fleet.ServerEntry;
 import org.siskinramp.follow.StoreVersion;
 import org.siskinramp.peer.PeerMessage;
+import org.siskinramp.quota.HostCount;
 import org.siskinramp.result.ResultCode;
 import org.siskinramp.result.ResultException;
 import org.siskinramp.rollout.RecordedRollout;
@@ -214,6 +215,16 @@
             return number < READERS;
         }
 
+        @Override
+        public Optional<String> source() {
+            return Optional.empty();
+        }
+
+        @Override
+        public HostCount hostCount() {
+            return HostCount.UNKNOWN;
+        }
+
         @Override
         public boolean acceptsUpdatesFrom(String host) {
             return true;
