--- a/library/src/main/java/org/siskinramp/fleet/KnownServer.java
+++ b/library/src/main/java/org/siskinramp/fleet/KnownServer.java
@@ -26,11 +26,7 @@
     private ServerEntry entry;
     private long warmUpUntil;
     private long expiresAt = Long.MAX_VALUE;
-    private int reportedInProgress = LoadReport.UNKNOWN;
-    private int reportedWaiting;
-    private int serviceTimePercent = 100;
-    private long loadReportedAt = NEVER;
-    private int sentSinceLoadReport;
+    private final LoadEstimate load = new LoadEstimate();
     private int inFlight;
     private int probesInFlight;
     private boolean answered;
@@ -58,8 +54,7 @@
 
     private void resetObservations() {
         answered = false;
-        reportedInProgress = LoadReport.UNKNOWN;
-        loadReportedAt = NEVER;
+        load.forgetReport();
         outlierDetection = new OutlierDetection();
         departing = false;
         pausedUntil = NEVER;
@@ -212,7 +207,7 @@
      * @return milliseconds; very large if there is no load report
      */
     public long loadReportAgeMilliseconds(long now) {
-        return now - loadReportedAt;
+        return now - load.reportedAt();
     }
 
     /**
@@ -221,7 +216,7 @@
      * @return true if a load report is known
      */
     public boolean hasLoadReport() {
-        return reportedInProgress >= 0;
+        return load.isReported();
     }
 
     /**
@@ -231,11 +226,7 @@
      * @return the estimate, at least the number of this host's requests in flight
      */
     public int estimatedRequestsInProgress() {
-        return Math.max(
-                inFlight,
-                Math.max(0, reportedInProgress)
-                        + Math.max(0, reportedWaiting)
-                        + sentSinceLoadReport);
+        return Math.max(inFlight, load.requestsInProgress());
     }
 
     /**
@@ -244,7 +235,7 @@
      * @return percent, where 100 is usual
      */
     public int serviceTimePercent() {
-        return serviceTimePercent;
+        return load.serviceTimePercent();
     }
 
     /**
@@ -287,7 +278,7 @@
     /** Records that a request was sent. */
     public void beginRequest() {
         inFlight++;
-        sentSinceLoadReport++;
+        load.requestSent();
     }
 
     /**
@@ -297,11 +288,7 @@
      */
     public void endRequest(long sentAt) {
         inFlight--;
-        if (sentAt >= loadReportedAt) {
-            sentSinceLoadReport = Math.max(0, sentSinceLoadReport - 1);
-        } else if (reportedInProgress > 0) {
-            reportedInProgress--;
-        }
+        load.requestEnded(sentAt);
     }
 
     /**
@@ -324,12 +311,7 @@
      */
     public void recordLoadReport(LoadReport report, long now) {
         if (report.hasLoad()) {
-            reportedInProgress = report.requestsInProgress();
-            reportedWaiting = Math.max(0, report.requestsWaiting());
-            serviceTimePercent =
-                    report.serviceTimePercent() > 0 ? report.serviceTimePercent() : 100;
-            loadReportedAt = now;
-            sentSinceLoadReport = 0;
+            load.update(report, now);
         }
         if (report.remainingWarmUpMilliseconds() >= 0) {
             warmUpUntil = now + report.remainingWarmUpMilliseconds();
@@ -385,6 +367,16 @@
         outlierDetection.recordFailure(now);
     }
 
+    /**
+     * Withdraws a recorded failure that was not a fault of the server, if it works otherwise.
+     *
+     * @param now monotonic milliseconds
+     * @return false if the server has not succeeded recently, so that the failure counts
+     */
+    public boolean excuseFailure(long now) {
+        return outlierDetection.excuseFailure(now);
+    }
+
     /**
      * Records that the server could not be reached, that another one has its address, or that a
      * probe of it failed, and deprioritises it for a time.
--- a/library/src/main/java/org/siskinramp/fleet/OutlierDetection.java
+++ b/library/src/main/java/org/siskinramp/fleet/OutlierDetection.java
@@ -39,6 +39,12 @@
 
     private static final long MAXIMUM_EJECTION_MILLISECONDS = 60_000;
 
+    /**
+     * A server that has not succeeded for this long is judged by its failures. A full server
+     * completes the requests that fill it, which takes some hundred milliseconds.
+     */
+    private static final long EXCUSE_MILLISECONDS = 1_000;
+
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private long backoffUntil = NEVER;
@@ -46,6 +52,7 @@
     private long unhealthyUntil = NEVER;
     private double failureRate;
     private long failedAt;
+    private long succeededAt = NEVER;
     private long ejectedUntil = NEVER;
     private long ejectionMilliseconds;
 
@@ -73,6 +80,7 @@
         if (now >= ejectedUntil) {
             ejectionMilliseconds = 0;
         }
+        succeededAt = now;
         nextBackoffMilliseconds = INITIAL_BACKOFF_MILLISECONDS;
         failureRate -= FAILURE_SAMPLE_WEIGHT * failureRate;
     }
@@ -83,6 +91,20 @@
         failedAt = now;
     }
 
+    /**
+     * Withdraws a recorded failure of a server that has succeeded recently; returns false if it has
+     * not.
+     */
+    boolean excuseFailure(long now) {
+        if (now - succeededAt > EXCUSE_MILLISECONDS) {
+            return false;
+        }
+        double decayed = failureRate(now);
+        failureRate = Math.max(0, (decayed - FAILURE_SAMPLE_WEIGHT) / (1 - FAILURE_SAMPLE_WEIGHT));
+        failedAt = now;
+        return true;
+    }
+
     void recordConnectionFailure(long now) {
         backoffUntil = now + nextBackoffMilliseconds;
         nextBackoffMilliseconds =
--- a/library/src/main/java/org/siskinramp/gateway/AttemptDispatcher.java
+++ b/library/src/main/java/org/siskinramp/gateway/AttemptDispatcher.java
@@ -192,7 +192,7 @@
                         attemptEndEvent(attempt, kind.logName(), now)
                                 .with("content", attempt.context().request().contentHash()));
         if (kind.isConnectionBroken()) {
-            crashDetector.connectionBroken(attempt, deferred);
+            crashDetector.connectionBroken(attempt, kind, deferred);
         } else if (kind == AttemptFailure.TIMED_OUT) {
             crashDetector.timedOut(attempt, deferred);
         } else {
--- a/library/src/main/java/org/siskinramp/gateway/ConcurrencyLimit.java
+++ b/library/src/main/java/org/siskinramp/gateway/ConcurrencyLimit.java
@@ -29,20 +29,29 @@
     private static final double SAMPLE_WEIGHT = 0.05;
 
     private final Map<String, MovingAverage> baselineMilliseconds = new HashMap<>();
+    private final ResetLimit resetLimit;
     private final MovingAverage saturatedRatio = new MovingAverage(1, SAMPLE_WEIGHT);
     private int saturatedSamples;
 
+    ConcurrencyLimit(ResetLimit resetLimit) {
+        this.resetLimit = resetLimit;
+    }
+
     /** Returns the knee: the number of requests in flight up to which servers do not slow down. */
     static int kneeConcurrency(int slots) {
         return Math.max(1, (int) Math.floor(slots * KNEE_SHARE));
     }
 
-    /** Returns the number of requests in flight that gives the highest throughput. */
+    /**
+     * Returns the number of requests in flight that gives the highest throughput, without those at
+     * which the servers reset connections.
+     */
     int limit(int slots) {
         boolean lastSlotsCostMore =
                 saturatedSamples >= MINIMUM_SATURATED_SAMPLES
                         && saturatedRatio.value() > MAXIMUM_WORTHWHILE_RATIO;
-        return lastSlotsCostMore ? kneeConcurrency(slots) : slots;
+        int throughputLimit = lastSlotsCostMore ? kneeConcurrency(slots) : slots;
+        return Math.min(throughputLimit, resetLimit.limit(slots));
     }
 
     /**
@@ -54,6 +63,7 @@
      * @param slots how many requests the server runs concurrently
      */
     void recordLatency(String kind, long latencyMilliseconds, int concurrency, int slots) {
+        resetLimit.recordCompletion();
         MovingAverage baseline = baselineMilliseconds.get(kind);
         if (concurrency <= kneeConcurrency(slots)) {
             if (baseline == null) {
--- a/library/src/main/java/org/siskinramp/gateway/CrashDetector.java
+++ b/library/src/main/java/org/siskinramp/gateway/CrashDetector.java
@@ -1,8 +1,6 @@
 package org.siskinramp.gateway;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -43,21 +41,6 @@
      */
     private static final long[] PROBE_DELAYS_MILLISECONDS = {20, 200, 600, 1_400, 3_000, 6_000};
 
-    /** A connection that breaks this soon after another one of its server starts no new probes. */
-    private static final long PROBE_REUSE_MILLISECONDS = 200;
-
-    /**
-     * Connections must be refused for this long to confirm a crash. A full server that resets
-     * excess connections accepts others within this time.
-     */
-    private static final long REFUSED_CONFIRMATION_MILLISECONDS = 100;
-
-    /**
-     * Probes must fail for this long to confirm the crash of a server that closes connections. A
-     * full server that closes each new connection has free capacity again within this time.
-     */
-    private static final long CUT_CONFIRMATION_MILLISECONDS = 1_000;
-
     /**
      * A request is cleared of a crash if the same content completed on any server at most this long
      * before its connection broke, or later.
@@ -65,7 +48,6 @@
     private static final long CLEARING_WINDOW_MILLISECONDS = 10_000;
 
     private static final int MAXIMUM_SUSPECTED_SERVERS = 200;
-    private static final int MAXIMUM_SUSPECTED_CRASHES_PER_SERVER = 50;
 
     /** Limits the memory for completions to about 200 kB. */
     private static final int MAXIMUM_COMPLETIONS = 2_000;
@@ -75,6 +57,7 @@
     private final ProbeSender probeSender;
     private final Quarantine quarantine;
     private final CrashReporter reporter;
+    private final FullServerDetector fullServerDetector;
     private final Map<String, SuspectedCrashes> suspectedByServer = new LinkedHashMap<>();
     private final Map<String, Long> completions = new LinkedHashMap<>();
     private final Map<String, RouteCrashes> crashesByRoute = new HashMap<>();
@@ -90,6 +73,12 @@
         this.probeSender = probeSender;
         this.quarantine = quarantine;
         this.reporter = reporter;
+        fullServerDetector = new FullServerDetector(environment);
+    }
+
+    /** Returns the limit that keeps the servers of a service from resetting connections. */
+    ResetLimit resetLimit(String service) {
+        return fullServerDetector.limit(service);
     }
 
     /** Tells whether a request is quarantined, so that it must not be sent. */
@@ -128,13 +117,9 @@
     }
 
     private int suspectedCrashes(String content) {
-        int count = 0;
-        for (SuspectedCrashes suspected : suspectedByServer.values()) {
-            for (SuspectedCrash suspectedCrash : suspected.entries) {
-                count += suspectedCrash.crash.content().equals(content) ? 1 : 0;
-            }
-        }
-        return count;
+        return suspectedByServer.values().stream()
+                .mapToInt(crashes -> crashes.count(content))
+                .sum();
     }
 
     /**
@@ -142,38 +127,50 @@
      * probes confirm the crash only if connections are refused or another server answers, since a
      * live server may close the connections of requests and probes alike.
      */
-    void connectionBroken(AttemptDispatcher.InFlightAttempt attempt, DeferredActions deferred) {
-        boolean full = attempt.estimatedRequestsInProgress() > attempt.server().server().slots();
-        suspectCrash(attempt, !full, deferred);
+    void connectionBroken(
+            AttemptDispatcher.InFlightAttempt attempt,
+            AttemptFailure failure,
+            DeferredActions deferred) {
+        SuspectedCrash.Symptom symptom = SuspectedCrash.Symptom.CUT;
+        if (fullServerDetector.isLikelyFull(attempt)) {
+            symptom = SuspectedCrash.Symptom.CUT_WHEN_FULL;
+        } else if (failure == AttemptFailure.ANSWER_INCOMPLETE) {
+            symptom = SuspectedCrash.Symptom.ANSWER_CUT;
+        }
+        suspectCrash(attempt, symptom, deferred);
     }
 
     /** Suspects a crash after a server sent no answer before the deadline of a request. */
     void timedOut(AttemptDispatcher.InFlightAttempt attempt, DeferredActions deferred) {
-        suspectCrash(attempt, false, deferred);
+        suspectCrash(attempt, SuspectedCrash.Symptom.TIMED_OUT, deferred);
     }
 
     private void suspectCrash(
-            AttemptDispatcher.InFlightAttempt attempt, boolean cut, DeferredActions deferred) {
+            AttemptDispatcher.InFlightAttempt attempt,
+            SuspectedCrash.Symptom symptom,
+            DeferredActions deferred) {
         long now = now();
         KnownServer server = attempt.server();
         if (!server.isInRotation(now)) {
             return;
         }
-        SuspectedCrashes suspected = suspectedByServer.get(server.server().name());
-        boolean probesRunning =
-                suspected != null && now - suspected.probingSince < PROBE_REUSE_MILLISECONDS;
-        if (!probesRunning) {
-            suspected = suspected == null ? new SuspectedCrashes() : suspected;
-            suspected.probingSince = now;
-            suspectedByServer.put(server.server().name(), suspected);
+        SuspectedCrashes suspected =
+                suspectedByServer.computeIfAbsent(
+                        server.server().name(), name -> new SuspectedCrashes());
+        if (suspected.startProbesIfNeeded(now)) {
             dropOldest(suspectedByServer, MAXIMUM_SUSPECTED_SERVERS);
             for (long delayMilliseconds : PROBE_DELAYS_MILLISECONDS) {
                 scheduleProbe(delayMilliseconds, server, deferred);
             }
         }
-        if (suspected.entries.size() < MAXIMUM_SUSPECTED_CRASHES_PER_SERVER) {
-            suspected.entries.add(new SuspectedCrash(crashOf(attempt), now, cut));
-        }
+        suspected.add(
+                new SuspectedCrash(
+                        crashOf(attempt),
+                        attempt.context().request().key().requestId(),
+                        attempt.sentAt(),
+                        now,
+                        attempt.estimatedRequestsInProgress(),
+                        symptom));
     }
 
     private static Crash crashOf(AttemptDispatcher.InFlightAttempt attempt) {
@@ -208,23 +205,16 @@
     /** Confirms the crash of a server that closed a connection and has answered no probe since. */
     private void checkCutConnections(String server, DeferredActions deferred) {
         SuspectedCrashes suspected = suspectedByServer.get(server);
-        if (suspected == null || suspected.entries.stream().noneMatch(SuspectedCrash::cut)) {
-            return;
-        }
-        if (suspected.failingSince == SuspectedCrashes.NEVER) {
-            suspected.failingSince = now();
-        } else if (now() - suspected.failingSince >= CUT_CONFIRMATION_MILLISECONDS) {
+        if (suspected != null && suspected.confirmByFailedProbe(now())) {
             confirmCrash(server, "cuts_connections", deferred);
         }
     }
 
-    private void confirmAlive(KnownServer server, long probeSentAt) {
+    private void confirmAlive(KnownServer server, long probeSentAt, LoadReport report) {
         SuspectedCrashes suspected = suspectedByServer.get(server.server().name());
         if (suspected != null) {
-            suspected.entries.removeIf(suspectedCrash -> suspectedCrash.brokenAt <= probeSentAt);
-            suspected.refusedSince = SuspectedCrashes.NEVER;
-            suspected.failingSince = SuspectedCrashes.NEVER;
-            if (suspected.entries.isEmpty()) {
+            fullServerDetector.judgeResets(server, suspected.endBefore(probeSentAt), report);
+            if (suspected.entries().isEmpty()) {
                 suspectedByServer.remove(server.server().name());
             }
         }
@@ -238,12 +228,9 @@
         }
         if (failure == AttemptFailure.WRONG_SERVER) {
             confirmCrash(server.server().name(), "other_server", deferred);
-        } else if (failure == AttemptFailure.CONNECTION_REFUSED) {
-            if (suspected.refusedSince == SuspectedCrashes.NEVER) {
-                suspected.refusedSince = now();
-            } else if (now() - suspected.refusedSince >= REFUSED_CONFIRMATION_MILLISECONDS) {
-                confirmCrash(server.server().name(), "refused", deferred);
-            }
+        } else if (failure == AttemptFailure.CONNECTION_REFUSED
+                && suspected.confirmByRefusal(now())) {
+            confirmCrash(server.server().name(), "refused", deferred);
         }
     }
 
@@ -255,13 +242,13 @@
         }
         long now = now();
         List<Crash> confirmed = new ArrayList<>();
-        for (SuspectedCrash suspectedCrash : suspected.entries) {
+        for (SuspectedCrash suspectedCrash : suspected.entries()) {
             boolean cleared =
-                    hasCompletedSince(suspectedCrash.crash.content(), suspectedCrash.brokenAt);
-            if (now - suspectedCrash.brokenAt <= CONFIRMATION_TIMEOUT_MILLISECONDS) {
+                    hasCompletedSince(suspectedCrash.crash().content(), suspectedCrash.brokenAt());
+            if (now - suspectedCrash.brokenAt() <= CONFIRMATION_TIMEOUT_MILLISECONDS) {
                 logCrash(suspectedCrash, cleared, proof, now);
                 if (!cleared) {
-                    confirmed.add(suspectedCrash.crash);
+                    confirmed.add(suspectedCrash.crash());
                 }
             }
         }
@@ -283,12 +270,12 @@
                 .eventLog()
                 .record(
                         LogEvent.named(cleared ? "crash_excused" : "crash")
-                                .with("content", suspectedCrash.crash.content())
-                                .with("route", suspectedCrash.crash.route())
-                                .with("backend_server", suspectedCrash.crash.backendServer())
-                                .with("born", suspectedCrash.crash.startedMilliseconds())
+                                .with("content", suspectedCrash.crash().content())
+                                .with("route", suspectedCrash.crash().route())
+                                .with("backend_server", suspectedCrash.crash().backendServer())
+                                .with("born", suspectedCrash.crash().startedMilliseconds())
                                 .with("proof", proof)
-                                .with("after_ms", now - suspectedCrash.brokenAt));
+                                .with("after_ms", now - suspectedCrash.brokenAt()));
     }
 
     private boolean hasCompletedSince(String content, long brokenAt) {
@@ -323,14 +310,16 @@
         }
     }
 
-    /** Drops suspected crashes that were not confirmed in time. */
+    /** Drops suspected crashes that were not confirmed in time, and raises reset limits. */
     void dropExpired() {
         long now = now();
+        fullServerDetector.raiseLimits();
         suspectedByServer
                 .values()
                 .removeIf(
                         suspected ->
-                                now - suspected.probingSince > CONFIRMATION_TIMEOUT_MILLISECONDS);
+                                suspected.probingMilliseconds(now)
+                                        > CONFIRMATION_TIMEOUT_MILLISECONDS);
         crashesByRoute.values().removeIf(crashes -> crashes.isExpired(now));
     }
 
@@ -359,7 +348,7 @@
 
         @Override
         public void answered(LoadReport report, DeferredActions deferred) {
-            confirmAlive(server, sentAt);
+            confirmAlive(server, sentAt, report);
         }
 
         @Override
@@ -368,44 +357,4 @@
             checkCutConnections(server.server().name(), deferred);
         }
     }
-
-    /**
-     * A suspected crash; {@code cut} means that a server that was not full closed the connection.
-     */
-    private record SuspectedCrash(Crash crash, long brokenAt, boolean cut) {}
-
-    /** Counts the recent crashes under requests of one route. */
-    private static final class RouteCrashes {
-
-        private static final int CRASH_LIMIT = 3;
-        private static final long WINDOW_MILLISECONDS = 10_000;
-
-        private final Deque<Long> times = new ArrayDeque<>();
-
-        private void add(long now) {
-            times.addLast(now);
-            if (times.size() > CRASH_LIMIT) {
-                times.removeFirst();
-            }
-        }
-
-        private boolean isLimitReached(long now) {
-            return times.size() >= CRASH_LIMIT && now - times.peekFirst() <= WINDOW_MILLISECONDS;
-        }
-
-        private boolean isExpired(long now) {
-            return now - times.peekLast() > WINDOW_MILLISECONDS;
-        }
-    }
-
-    /** The suspected crashes of one server. */
-    private static final class SuspectedCrashes {
-
-        private static final long NEVER = -1;
-
-        private final List<SuspectedCrash> entries = new ArrayList<>();
-        private long probingSince;
-        private long refusedSince = NEVER;
-        private long failingSince = NEVER;
-    }
 }
--- a/library/src/main/java/org/siskinramp/gateway/ServicePool.java
+++ b/library/src/main/java/org/siskinramp/gateway/ServicePool.java
@@ -52,7 +52,7 @@
     private final AttemptDispatcher dispatcher;
     private final RequestCompletion completion;
     private final ServerSearch search;
-    private final ConcurrencyLimit concurrencyLimit = new ConcurrencyLimit();
+    private final ConcurrencyLimit concurrencyLimit;
     private final PlacementPolicy placementPolicy;
     private final RetryController retryController;
     private final StartRate startRate = new StartRate();
@@ -89,6 +89,7 @@
                 new AttemptDispatcher(
                         environment, fleet, lockedExecutor, crashDetector, announcements, this);
         completion = new RequestCompletion(environment);
+        concurrencyLimit = new ConcurrencyLimit(crashDetector.resetLimit(service));
         placementPolicy = new PlacementPolicy(environment.availabilityZone(), concurrencyLimit);
         retryController = new RetryController(service, environment, options, hostShare);
         search =
@@ -467,10 +468,9 @@
 
     /** Reuses the slot that an ended attempt left free, without another probe. */
     private void reuseFreedSlot(KnownServer server, DeferredActions deferred) {
-        long now = now();
         if (queue.size() > 0
                 && server.hasLoadReport()
-                && eligibility.isHealthy(server, now)
+                && eligibility.isHealthy(server, now())
                 && server.estimatedRequestsInProgress()
                         < ConcurrencyLimit.kneeConcurrency(server.server().slots())
                 && isAcceptedByNextRequest(server)) {
--- a/library/src/main/java/org/siskinramp/log/Counter.java
+++ b/library/src/main/java/org/siskinramp/log/Counter.java
@@ -34,6 +34,8 @@
     SERVERS_PAUSED,
     /** Rate limits that backend servers announced. */
     SERVERS_RATE_LIMITED,
+    /** Connections that backend servers reset because they were full. */
+    FULL_SERVER_RESETS,
     /** Answers of backend servers that are not valid HTTP, such as one of status 000. */
     ANSWERS_INVALID,
     /** Requests that waited for a slot. */
--- a/library/src/test/java/org/siskinramp/gateway/SimulatedServers.java
+++ b/library/src/test/java/org/siskinramp/gateway/SimulatedServers.java
@@ -154,6 +154,8 @@
         private final List<Long> arrivals = new ArrayList<>();
         private int running;
         private int maximumOccupied;
+        private int resetCapacity = Integer.MAX_VALUE;
+        private int resets;
         private int runs;
         private int serviceTimePercent = USUAL_SERVICE_TIME_PERCENT;
         private double saturatedLatencyFactor = 1;
@@ -219,6 +221,16 @@
             return this;
         }
 
+        /** Resets the connection of a request that arrives while this many are running. */
+        SimulatedServer withResetCapacity(int requests) {
+            resetCapacity = requests;
+            return this;
+        }
+
+        int resets() {
+            return resets;
+        }
+
         SimulatedServer coldFor(long milliseconds) {
             coldUntil = time.monotonicMilliseconds() + milliseconds;
             return this;
@@ -389,6 +401,9 @@
                 answer.completeExceptionally(failure(AttemptFailure.CONNECTION_BROKEN));
             } else if (down || behaviour == Behaviour.REFUSE_CONNECTIONS) {
                 answer.completeExceptionally(failure(AttemptFailure.CONNECTION_REFUSED));
+            } else if (running >= resetCapacity) {
+                resets++;
+                answer.completeExceptionally(failure(AttemptFailure.CONNECTION_BROKEN));
             } else if (behaviour == Behaviour.SHED
                     || (running >= slots && waiting.size() >= QUEUE_CAPACITY)) {
                 answer.completeExceptionally(
