--- a/daemon/src/main/java/org/siskinramp/daemon/peer/MessageTypes.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/peer/MessageTypes.java
@@ -16,6 +16,7 @@
 import org.siskinramp.peer.LoanAsk;
 import org.siskinramp.peer.LoanGrant;
 import org.siskinramp.peer.LoanReturn;
+import org.siskinramp.peer.OperatorDelta;
 import org.siskinramp.peer.OperatorNews;
 import org.siskinramp.peer.PeerMessage;
 import org.siskinramp.peer.QuarantineNews;
@@ -49,6 +50,7 @@
                     Map.entry(FeedAsk.class, 19),
                     Map.entry(FeedNews.class, 20),
                     Map.entry(OperatorNews.class, 23),
+                    Map.entry(OperatorDelta.class, 24),
                     Map.entry(RoutesAsk.class, 22),
                     Map.entry(Hello.class, 100),
                     Map.entry(Receipt.class, 101));
--- a/library/src/main/java/org/siskinramp/relay/FeedRelay.java
+++ b/library/src/main/java/org/siskinramp/relay/FeedRelay.java
@@ -13,10 +13,8 @@
 import org.siskinramp.log.LogEvent;
 import org.siskinramp.peer.FeedAsk;
 import org.siskinramp.peer.FeedNews;
-import org.siskinramp.peer.OperatorNews;
 import org.siskinramp.peer.PeerMessage;
 import org.siskinramp.peer.PeerSender;
-import org.siskinramp.peer.RouteLine;
 import org.siskinramp.peer.RoutesAsk;
 import org.siskinramp.peer.SeedName;
 import org.siskinramp.time.Clock;
@@ -69,7 +67,6 @@
     private final OperatorTableReplica operatorReplica = new OperatorTableReplica();
     private final Subscribers subscribers = new Subscribers();
     private final UpdateReassembler updateReassembler = new UpdateReassembler();
-    private final RouteRequests routeRequests = new RouteRequests();
     private final LastPeerRead lastPeerRead = new LastPeerRead();
     private final RestoreDetector serversRestore = new RestoreDetector();
     private final RestoreDetector operatorRestore = new RestoreDetector();
@@ -80,6 +77,7 @@
     private volatile PeerSender peerSender;
     private volatile TableFollowers followers;
     private volatile UpdateBuilder updateBuilder;
+    private volatile OperatorTableRelay operatorRelay;
     private volatile SourceSelector sourceSelector;
 
     /**
@@ -126,6 +124,15 @@
         updateBuilder =
                 new UpdateBuilder(
                         serverReplica, operatorReplica, subscribers, tableFollowers, clock);
+        operatorRelay =
+                new OperatorTableRelay(
+                        this,
+                        operatorReplica,
+                        updateReassembler,
+                        tableFollowers.operator(),
+                        peers,
+                        clock,
+                        eventLog);
         sourceSelector =
                 new SourceSelector(
                         entry,
@@ -261,10 +268,10 @@
             onRequest(host, request);
         } else if (message instanceof FeedNews update) {
             onUpdate(host, update);
-        } else if (message instanceof OperatorNews update) {
-            onUpdate(host, update);
         } else if (message instanceof RoutesAsk request) {
-            onRequest(host, request);
+            operatorRelay.answer(host, request);
+        } else if (acceptsUpdatesFrom(host)) {
+            operatorRelay.receive(host, message);
         }
     }
 
@@ -289,7 +296,7 @@
                 return;
             }
             lastPeerRead.recordUpdate(update, now());
-            routeRequests.recordVersion(host, update.operatorVersion());
+            operatorRelay.recordVersion(host, update.operatorVersion());
         }
         long previousVersion = followers.servers().version();
         long previousAgeMilliseconds = followers.servers().ageMilliseconds();
@@ -315,36 +322,6 @@
         }
     }
 
-    private void onRequest(String host, RoutesAsk request) {
-        List<OperatorNews> messages;
-        synchronized (this) {
-            messages =
-                    operatorReplica.version() > request.operatorVersion()
-                            ? operatorReplica.snapshotMessages(
-                                    followers.operator().ageMilliseconds())
-                            : List.of();
-        }
-        messages.forEach(message -> peerSender.send(host, message));
-    }
-
-    private void onUpdate(String host, OperatorNews update) {
-        Optional<List<RouteLine>> routes;
-        synchronized (this) {
-            if (!acceptsUpdatesFrom(host)) {
-                return;
-            }
-            routes = updateReassembler.addPart(host, update);
-        }
-        routes.ifPresent(
-                lines ->
-                        followers
-                                .operator()
-                                .applyPeerChanges(
-                                        update.operatorVersion(),
-                                        OperatorTableReplica.changesOf(update, lines),
-                                        update.ageMilliseconds()));
-    }
-
     private void onUpdateApplied(String host, FeedNews update) {
         boolean isReader;
         synchronized (this) {
@@ -352,7 +329,7 @@
             sourceSelector.onUpdate(host, update, now());
         }
         if (!isReader) {
-            followers.suspendReads(update, options, now());
+            followers.suspendReads(update, options, now(), operatorRelay.awaitsSnapshot());
         }
         reportHostCount(update.hostCount());
     }
@@ -374,7 +351,7 @@
             if (renewsSubscriptions || isOverdue) {
                 renewSubscriptions();
             }
-            requestMissingRoutes();
+            operatorRelay.requestMissingRoutes();
             if (renewsSubscriptions) {
                 subscribeToSeed();
             }
@@ -397,19 +374,6 @@
         }
     }
 
-    /** Requests the routes from a peer with a newer version if this host cannot read them. */
-    private void requestMissingRoutes() {
-        if (!followers.operator().isFailing()) {
-            return;
-        }
-        long localVersion = followers.operator().version();
-        Optional<String> newestHost;
-        synchronized (this) {
-            newestHost = routeRequests.next(localVersion, now());
-        }
-        newestHost.ifPresent(host -> peerSender.send(host, new RoutesAsk(localVersion)));
-    }
-
     /** Subscribes to a seed while this host has not read the hosts table. */
     private void subscribeToSeed() {
         if (followers.hosts().isSynced()) {
--- a/library/src/main/java/org/siskinramp/relay/OperatorTableReplica.java
+++ b/library/src/main/java/org/siskinramp/relay/OperatorTableReplica.java
@@ -6,28 +6,39 @@
 import org.siskinramp.follow.Changes;
 import org.siskinramp.follow.EvacuatedZones;
 import org.siskinramp.follow.OperatorChange;
+import org.siskinramp.peer.OperatorDelta;
 import org.siskinramp.peer.OperatorNews;
+import org.siskinramp.peer.PeerMessage;
 import org.siskinramp.peer.RouteLine;
+import org.siskinramp.peer.RouteTableDelta;
+import org.siskinramp.peer.RouteTableDeltaSize;
 import org.siskinramp.route.RouteTable;
 import org.siskinramp.workspace.Workspace;
 import org.siskinramp.workspace.WorkspaceTable;
 
 /**
- * Holds a copy of the operator table, from which updates for other hosts are built. Large route
- * tables are sent on request only: other hosts read them from the store, which costs less than the
- * traffic between availability zones. Not thread-safe; guarded by the lock of its owner.
+ * Holds a copy of the operator table, from which updates for other hosts are built. Of a large
+ * route table, small changes are sent; the whole table is sent on request only. After a large
+ * change, other hosts read it from the store, which costs less than the traffic between
+ * availability zones. Not thread-safe; guarded by the lock of its owner.
  */
 final class OperatorTableReplica {
 
     /** About 6 kB; sending these between availability zones costs as much as a store call. */
     static final int MAXIMUM_UNSOLICITED_ROUTES = 40;
 
+    /** Sending this much between availability zones costs as much as a store call. */
+    private static final int MAXIMUM_DELTA_BYTES = 6_000;
+
     /** About 30 kB per frame. */
     private static final int ROUTES_PER_MESSAGE = 200;
 
     private final EvacuatedZones evacuatedZones = new EvacuatedZones();
     private RouteTable routes = RouteTable.EMPTY;
     private long version;
+    private RouteTable previousRoutes = RouteTable.EMPTY;
+    private long previousVersion;
+    private Optional<RouteTableDelta> delta = Optional.empty();
 
     /** Returns the version of the last change by an operator, 0 before the first read. */
     long version() {
@@ -38,6 +49,9 @@
         if (!changes.isSnapshot() && changes.items().isEmpty()) {
             return;
         }
+        previousVersion = version;
+        previousRoutes = routes;
+        delta = Optional.empty();
         version = changes.version();
         evacuatedZones.apply(changes);
         for (OperatorChange change : changes.items()) {
@@ -49,11 +63,37 @@
         }
     }
 
-    /** Builds the messages that are sent without a request; none if there are too many routes. */
-    List<OperatorNews> unsolicitedMessages(long ageMilliseconds) {
-        return routes.routeCount() > MAXIMUM_UNSOLICITED_ROUTES
+    /**
+     * Builds the messages that are sent without a request. There are none if there are too many
+     * routes and the last change is large, or the receiver has not the version before it.
+     *
+     * @param receiverVersion the version that the receiver was told of last
+     */
+    List<? extends PeerMessage> unsolicitedMessages(long receiverVersion, long ageMilliseconds) {
+        if (routes.routeCount() <= MAXIMUM_UNSOLICITED_ROUTES) {
+            return snapshotMessages(ageMilliseconds);
+        }
+        if (receiverVersion != previousVersion || previousRoutes.version() == 0) {
+            return List.of();
+        }
+        // Computed on demand, since most hosts have no subscribers.
+        RouteTableDelta lastChange =
+                delta.orElseGet(() -> RouteTableDeltas.between(previousRoutes, routes));
+        delta = Optional.of(lastChange);
+        return RouteTableDeltaSize.estimateBytes(lastChange) > MAXIMUM_DELTA_BYTES
                 ? List.of()
-                : snapshotMessages(ageMilliseconds);
+                : List.of(
+                        new OperatorDelta(
+                                version,
+                                ageMilliseconds,
+                                lastChange,
+                                List.copyOf(evacuatedZones.names())));
+    }
+
+    /** Converts a delta of another host to a snapshot; empty if it does not apply to this copy. */
+    Optional<Changes<OperatorChange>> changesOf(OperatorDelta update) {
+        return RouteTableDeltas.apply(routes, update.routes())
+                .map(table -> snapshot(update.operatorVersion(), table, update.evacuatedZones()));
     }
 
     /** Builds a snapshot of the table, in as many messages as the routes need. */
@@ -83,20 +123,24 @@
 
     /** Converts a snapshot of another host to the changes that a read of the table returns. */
     static Changes<OperatorChange> changesOf(OperatorNews update, List<RouteLine> lines) {
+        RouteTable table =
+                new RouteTable(
+                        update.routesVersion(),
+                        lines.stream().map(RouteLine::toRoute).toList(),
+                        update.services(),
+                        update.callerLimits(),
+                        workspacesOf(update));
+        return snapshot(update.operatorVersion(), table, update.evacuatedZones());
+    }
+
+    private static Changes<OperatorChange> snapshot(
+            long version, RouteTable table, List<String> evacuatedZones) {
         List<OperatorChange> changes = new ArrayList<>();
-        if (update.routesVersion() > 0) {
-            changes.add(
-                    new OperatorChange.Routes(
-                            new RouteTable(
-                                    update.routesVersion(),
-                                    lines.stream().map(RouteLine::toRoute).toList(),
-                                    update.services(),
-                                    update.callerLimits(),
-                                    workspacesOf(update))));
+        if (table.version() > 0) {
+            changes.add(new OperatorChange.Routes(table));
         }
-        update.evacuatedZones()
-                .forEach(zone -> changes.add(new OperatorChange.Evacuation(zone, true)));
-        return new Changes<>(update.operatorVersion(), true, changes);
+        evacuatedZones.forEach(zone -> changes.add(new OperatorChange.Evacuation(zone, true)));
+        return new Changes<>(version, true, changes);
     }
 
     private static Optional<WorkspaceTable> workspacesOf(OperatorNews update) {
--- a/library/src/main/java/org/siskinramp/relay/TableFollowers.java
+++ b/library/src/main/java/org/siskinramp/relay/TableFollowers.java
@@ -33,10 +33,14 @@
 
     /**
      * Suspends reads until the reads on which an update is based exceed the staleness limits. Reads
-     * the operator table at once if the sender has a newer version, since large route tables are
-     * not sent without a request.
+     * the operator table at once if the sender has a newer version, since large changes of the
+     * routes are not sent without a request.
+     *
+     * @param awaitsOperatorTable whether another host was asked for the operator table, which is
+     *     not read then
      */
-    void suspendReads(FeedNews update, RelayOptions options, long now) {
+    void suspendReads(
+            FeedNews update, RelayOptions options, long now, boolean awaitsOperatorTable) {
         long serversSuspendedUntil =
                 now - update.serversAgeMilliseconds() + options.serverStalenessLimitMilliseconds();
         servers.suspendReadsUntil(serversSuspendedUntil);
@@ -48,7 +52,7 @@
         if (hosts.isSynced()) {
             hosts.suspendReadsUntil(now + HOSTS_SUSPENSION_MILLISECONDS);
         }
-        if (operator.version() < update.operatorVersion()) {
+        if (operator.version() < update.operatorVersion() && !awaitsOperatorTable) {
             operator.readNow();
         }
     }
--- a/library/src/main/java/org/siskinramp/relay/UpdateBuilder.java
+++ b/library/src/main/java/org/siskinramp/relay/UpdateBuilder.java
@@ -73,7 +73,8 @@
         List<PeerMessage> messages = new ArrayList<>();
         if (sentOperatorVersion < operatorReplica.version()) {
             messages.addAll(
-                    operatorReplica.unsolicitedMessages(followers.operator().ageMilliseconds()));
+                    operatorReplica.unsolicitedMessages(
+                            sentOperatorVersion, followers.operator().ageMilliseconds()));
         }
         ServerTableReplica.Update update =
                 serverReplica.changesSince(sentServersVersion, clock.monotonicMilliseconds());
--- a/library/src/test/java/org/siskinramp/relay/RelaySimulation.java
+++ b/library/src/test/java/org/siskinramp/relay/RelaySimulation.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.siskinramp.fleet.ServerEntry;
 import org.siskinramp.follow.ChangeFollower;
@@ -34,6 +35,7 @@
 import org.siskinramp.route.RouteTable;
 import org.siskinramp.time.Scheduler;
 import org.siskinramp.time.VirtualTime;
+import org.siskinramp.workspace.WorkspaceTable;
 
 /**
  * Simulates a store and hosts with relays in virtual time, with crashes, partitions and outages.
@@ -57,9 +59,18 @@
 
     boolean storeUnavailable;
     List<Route> routes = List.of();
+    Optional<WorkspaceTable> workspaces = Optional.empty();
+
+    /** Receives all messages, and tells which are lost. */
+    Predicate<PeerMessage> isLost = message -> false;
+
     List<String> seeds = List.of();
     int storeCalls;
     int operatorSnapshotReads;
+
+    /** How often the store sent the whole configuration to a host. */
+    int configurationReads;
+
     int messages;
     long messageDelayMilliseconds = 1;
     private final Map<String, Row> rows = new TreeMap<>();
@@ -260,7 +271,8 @@
                 () -> {
                     boolean isPartitioned =
                             partitionedFromHosts.contains(from)
-                                    || partitionedFromHosts.contains(to);
+                                    || partitionedFromHosts.contains(to)
+                                    || isLost.test(message);
                     Host reached = hosts.get(to);
                     if (!isPartitioned && reached.alive) {
                         reached.relay.receive(from, message);
@@ -288,6 +300,7 @@
         int smallestHostCount = Integer.MAX_VALUE;
         long routesVersion;
         int routeCount;
+        RouteTable routeTable = RouteTable.EMPTY;
         final Set<String> drainingServers = new HashSet<>();
         final Map<String, Long> removedAt = new TreeMap<>();
         final Set<String> operatorSettings = new HashSet<>();
@@ -450,6 +463,7 @@
                 if (change instanceof OperatorChange.Evacuation evacuation) {
                     operatorSettings.add(evacuation.availabilityZone());
                 } else if (change instanceof OperatorChange.Routes routesChange) {
+                    routeTable = routesChange.routes();
                     routesVersion = routesChange.routes().version();
                     routeCount = routesChange.routes().routeCount();
                 }
@@ -458,9 +472,10 @@
         }
 
         private OperatorChange operatorChange(Row row) {
+            configurationReads += row.key.equals("op/config") ? 1 : 0;
             return row.key.equals("op/config")
                     ? new OperatorChange.Routes(
-                            new RouteTable(row.version, routes, List.of(), LIMITS))
+                            new RouteTable(row.version, routes, List.of(), LIMITS, workspaces))
                     : new OperatorChange.Evacuation(row.key, row.state != State.REMOVED);
         }
 
