--- a/daemon/src/main/java/org/siskinramp/daemon/metrics/Metrics.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/metrics/Metrics.java
@@ -12,10 +12,12 @@
 import java.io.UncheckedIOException;
 import java.util.Arrays;
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.DoubleSupplier;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 import org.siskinramp.daemon.peer.PeerTrafficRecorder;
 import org.siskinramp.log.Counter;
 import org.siskinramp.log.Counters;
@@ -130,6 +132,32 @@
                 .register(registry);
     }
 
+    /**
+     * Registers a counter with labels whose values are read whenever the metrics are collected.
+     *
+     * @param name the metric's name, without the suffix {@code _total}
+     * @param help one sentence that describes the counter
+     * @param labels the names of the labels
+     * @param values returns the current values; called on any thread, must not block
+     */
+    public void registerCounters(
+            String name, String help, List<String> labels, Supplier<List<LabelledValue>> values) {
+        CounterWithCallback.builder()
+                .name(name)
+                .help(help)
+                .labelNames(labels.toArray(String[]::new))
+                .callback(
+                        callback ->
+                                values.get()
+                                        .forEach(
+                                                series ->
+                                                        callback.call(
+                                                                series.value(),
+                                                                series.labels()
+                                                                        .toArray(String[]::new))))
+                .register(registry);
+    }
+
     /**
      * Collects all metrics, including those of the JVM.
      *
--- a/library/src/main/java/org/siskinramp/quota/QuotaLimiter.java
+++ b/library/src/main/java/org/siskinramp/quota/QuotaLimiter.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -249,17 +250,22 @@
     }
 
     /**
-     * Returns what this host did with tokens.
+     * Returns what this host did with the tokens of the workspaces with the most requests.
      *
-     * @return one element for each workspace with a quota
+     * @param limit the largest number of workspaces
+     * @return the workspaces whose requests came here, the busiest first
      */
-    public List<QuotaUsage> usage() {
+    public List<QuotaUsage> busiest(int limit) {
         List<QuotaUsage> usage = new ArrayList<>();
         runLocked(
                 deferred ->
                         byWorkspace.forEach(
                                 (workspace, tokens) -> usage.add(tokens.usage(workspace))));
-        return usage;
+        return usage.stream()
+                .filter(each -> each.requests() > 0)
+                .sorted(Comparator.comparingLong(QuotaUsage::requests).reversed())
+                .limit(limit)
+                .toList();
     }
 
     private void runLocked(Consumer<DeferredActions> command) {
--- a/library/src/main/java/org/siskinramp/quota/QuotaUsage.java
+++ b/library/src/main/java/org/siskinramp/quota/QuotaUsage.java
@@ -9,5 +9,10 @@
  * @param given the tokens that were given to the reader
  * @param received the tokens that were received from the reader
  */
-public record QuotaUsage(
-        String workspace, long used, long refused, double given, double received) {}
+public record QuotaUsage(String workspace, long used, long refused, double given, double received) {
+
+    /** Returns the number of requests that were decided. */
+    long requests() {
+        return used + refused;
+    }
+}
--- a/library/src/main/java/org/siskinramp/quota/WorkspaceTokens.java
+++ b/library/src/main/java/org/siskinramp/quota/WorkspaceTokens.java
@@ -25,7 +25,7 @@
     private static final double KEPT_DEMAND_SECONDS = 0.25;
 
     /** A host with less demand asks for each token. */
-    private static final double KEPT_TOKEN_MINIMUM_PER_SECOND = 0.5;
+    private static final double KEPT_TOKEN_MINIMUM_PER_SECOND = 1.5;
 
     /** The demand that a host asks for in advance. */
     private static final double ASKED_DEMAND_SECONDS = 0.1;
--- a/library/src/main/java/org/siskinramp/relay/QuotaRelay.java
+++ b/library/src/main/java/org/siskinramp/relay/QuotaRelay.java
@@ -28,8 +28,10 @@
  */
 public final class QuotaRelay {
 
-    private static final long TICK_MILLISECONDS = 50;
-    private static final int SURPLUS_INTERVAL_TICKS = 5;
+    private static final long SURPLUS_INTERVAL_MILLISECONDS = 250;
+
+    /** A reader passes on at once what it learns, and asks again for what its hosts wait for. */
+    private static final long READER_TICK_MILLISECONDS = 50;
 
     /** While no workspace has a quota. */
     private static final long IDLE_TICK_MILLISECONDS = 1_000;
@@ -52,7 +54,7 @@
     private QuotaReader readerPart;
     private long askedAt = NEVER;
     private boolean askScheduled;
-    private int ticks;
+    private long surplusGivenAt = NEVER;
 
     /**
      * Creates a relay, which must be started.
@@ -180,17 +182,21 @@
     }
 
     private void tick() {
-        boolean hasQuotas = table.hasQuotas();
+        long intervalMilliseconds = IDLE_TICK_MILLISECONDS;
         try {
-            if (hasQuotas) {
+            if (table.hasQuotas()) {
+                intervalMilliseconds = SURPLUS_INTERVAL_MILLISECONDS;
                 currentReader = topology.source();
                 limiter.setReaderPresent(currentReader.isPresent());
                 limiter.tick();
                 giveSurplus();
-                tickReader();
+                if (topology.isReader()) {
+                    intervalMilliseconds = READER_TICK_MILLISECONDS;
+                    tickReader();
+                }
             }
         } finally {
-            scheduler.schedule(hasQuotas ? TICK_MILLISECONDS : IDLE_TICK_MILLISECONDS, this::tick);
+            scheduler.schedule(intervalMilliseconds, this::tick);
         }
     }
 
@@ -198,8 +204,10 @@
         List<String> workspaces;
         Optional<String> reader = currentReader;
         synchronized (this) {
-            ticks++;
-            boolean isDue = needed.takeNew() || ticks % SURPLUS_INTERVAL_TICKS == 0;
+            long now = clock.milliseconds();
+            boolean isDue =
+                    needed.takeNew() || now - surplusGivenAt >= SURPLUS_INTERVAL_MILLISECONDS;
+            surplusGivenAt = isDue ? now : surplusGivenAt;
             // The reader drops tokens in a message that does not answer one of its own.
             boolean isAccepted =
                     reader.filter(host -> host.equals(self) || bounds.hasHeard(host)).isPresent();
@@ -213,11 +221,9 @@
     }
 
     private void tickReader() {
-        if (topology.isReader()) {
-            List<String> readers = topology.readers();
-            List<String> subscribers = topology.subscribers();
-            run(commands -> readerPart.tick(readers, subscribers, commands.outbox));
-        }
+        List<String> readers = topology.readers();
+        List<String> subscribers = topology.subscribers();
+        run(commands -> readerPart.tick(readers, subscribers, commands.outbox));
     }
 
     /** What a command leaves to be done without the lock. */
