--- a/library/src/main/java/org/siskinramp/gateway/ResetLimit.java
+++ b/library/src/main/java/org/siskinramp/gateway/ResetLimit.java
@@ -27,10 +27,11 @@
     private static final long RECENT_RESET_MILLISECONDS = 30_000;
 
     /**
-     * How far the limit falls below the load at which servers reset. The first step keeps this
-     * host's own requests below it, the second leaves room for one request that it does not see.
+     * The limit leaves room for a request that this host does not see only if the servers accept at
+     * least this many. With fewer, the room costs more requests than the resets: in a process test
+     * with servers that accept three, 109 of 1,071 reads were refused.
      */
-    private static final int MAXIMUM_MARGIN = 2;
+    private static final int MINIMUM_REQUESTS_FOR_ROOM = 4;
 
     private static final int UNLIMITED = Integer.MAX_VALUE;
     private static final long NEVER = Long.MIN_VALUE / 2;
@@ -98,7 +99,9 @@
         }
         int before = learned;
         largestSlots = Math.max(largestSlots, slots);
-        int lowest = Math.max(lowestLimit(slots), largestResetLoad - MAXIMUM_MARGIN);
+        int accepted = largestResetLoad - 1;
+        int room = accepted >= MINIMUM_REQUESTS_FOR_ROOM ? 1 : 0;
+        int lowest = Math.max(lowestLimit(slots), accepted - room);
         learned = Math.max(lowest, Math.min(limit(slots), largestResetLoad) - 1);
         if (raised) {
             riseMilliseconds = Math.min(2 * riseMilliseconds, MAXIMUM_RISE_MILLISECONDS);
--- a/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamFault.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamFault.java
@@ -8,6 +8,11 @@
     LOSE_ANSWER,
     /** It runs the request and never answers. */
     HANG,
+    /**
+     * It has room for three quarters of its slots only. It starts to run each further request and
+     * closes the connection at once.
+     */
+    RESET_WHEN_FULL,
     /** It answers that it is overloaded and has not run the request. */
     SHED,
     /** It sends an endless body, as fast as the client reads it. */
--- a/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamStandIn.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamStandIn.java
@@ -334,6 +334,9 @@
         } else if (!crashPathPrefix.isEmpty() && exchange.path().startsWith(crashPathPrefix)) {
             crashListener.accept(exchange.header(REQUEST_ID).orElse(""));
             crash();
+        } else if (fault == UpstreamFault.RESET_WHEN_FULL && running.get() >= slots * 3 / 4) {
+            runs.merge(exchange.header(REQUEST_ID).orElse(""), 1, Integer::sum);
+            exchange.drop();
         } else if (fault == UpstreamFault.SHED || running.incrementAndGet() > slots) {
             if (fault != UpstreamFault.SHED) {
                 running.decrementAndGet();
