--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CloseDetectingEndPoint.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CloseDetectingEndPoint.java
@@ -8,7 +8,6 @@
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.internal.HttpConnection;
-import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Invocable;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -20,8 +19,6 @@
  */
 final class CloseDetectingEndPoint extends SocketChannelEndPoint implements LookAhead.Input {
 
-    private static final int END_OF_INPUT = -1;
-
     private final Object stateLock = new Object();
     private final Callback readAheadCallback =
             new Callback() {
@@ -42,10 +39,8 @@
             };
 
     private final Executor executor;
-    private final ReadAheadBuffer readAheadBuffer;
-    private final RequestBoundary boundary;
+    private final ConnectionInput input;
     private final LookAhead lookAhead;
-    private boolean endOfInput;
     private boolean readAheadPending;
     private Callback pendingReader;
     private Runnable closeListener;
@@ -59,8 +54,7 @@
             ConnectionParts parts) {
         super(channel, selector, key, scheduler);
         this.executor = executor;
-        this.readAheadBuffer = new ReadAheadBuffer(parts.memoryBudget());
-        this.boundary = new RequestBoundary(parts.parser());
+        this.input = new ConnectionInput(parts.memoryBudget(), parts.parser());
         this.lookAhead = parts.newLookAhead(this);
     }
 
@@ -73,7 +67,7 @@
     void setCloseListener(Runnable listener) {
         boolean closed;
         synchronized (stateLock) {
-            closed = endOfInput || !isOpen();
+            closed = input.isEnded() || !isOpen();
             if (!closed) {
                 closeListener = listener;
                 registerReadAhead();
@@ -99,8 +93,8 @@
      */
     boolean isClosedBeforeProcessing() {
         synchronized (stateLock) {
-            boolean unused = readAhead();
-            return endOfInput || !isOpen();
+            boolean unused = input.readAhead(super::fill);
+            return input.isEnded() || !isOpen();
         }
     }
 
@@ -116,11 +110,12 @@
         boolean closed;
         Runnable listener;
         synchronized (stateLock) {
-            if ((closeListener != null || readAheadBuffer.hasRemaining()) && readAhead()) {
+            if ((closeListener != null || input.hasBufferedBytes())
+                    && input.readAhead(super::fill)) {
                 // Not here, since the gateway that asks may hold locks.
                 executor.execute(lookAhead::advance);
             }
-            closed = endOfInput || !isOpen();
+            closed = input.isEnded() || !isOpen();
             listener = closed ? closeListener : null;
         }
         notifyListeners(null, listener);
@@ -133,7 +128,7 @@
      */
     boolean hasDiscardedInput() {
         synchronized (stateLock) {
-            return readAheadBuffer.isOverflowed();
+            return input.isOverflowed();
         }
     }
 
@@ -144,14 +139,14 @@
     /** Tells whether the HTTP connection has read nothing behind a request without a body. */
     boolean isAtEndOfRequest() {
         synchronized (stateLock) {
-            return boundary.isExact();
+            return input.isAtEndOfRequest();
         }
     }
 
     @Override
     public ByteBuffer copyFrom(int skippedBytes) {
         synchronized (stateLock) {
-            return readAheadBuffer.copyFrom(skippedBytes);
+            return input.copyFrom(skippedBytes);
         }
     }
 
@@ -164,37 +159,29 @@
     private void onReadable() {
         Callback waitingReader;
         Runnable listener = null;
+        boolean ended;
         synchronized (stateLock) {
             readAheadPending = false;
             waitingReader = pendingReader;
             pendingReader = null;
             if (waitingReader == null) {
-                boolean unused = readAhead();
-                if (endOfInput) {
+                boolean unused = input.readAhead(super::fill);
+                if (input.isEnded()) {
                     listener = closeListener;
-                } else if (closeListener != null || !readAheadBuffer.hasRemaining()) {
+                } else if (closeListener != null || !input.hasBufferedBytes()) {
                     registerReadAhead();
                 }
             }
+            ended = input.isEnded();
         }
         notifyListeners(waitingReader, listener);
-        if (waitingReader == null) {
+        if (ended) {
+            lookAhead.close();
+        } else if (waitingReader == null) {
             lookAhead.advance();
         }
     }
 
-    /** Buffers bytes that have arrived, and notes whether the caller has closed the connection. */
-    private boolean readAhead() {
-        try {
-            int read = endOfInput ? END_OF_INPUT : readAheadBuffer.addFrom(super::fill);
-            endOfInput = read < 0;
-            return read > 0;
-        } catch (IOException failure) {
-            endOfInput = true;
-            return false;
-        }
-    }
-
     private void onReadFailure(Throwable failure) {
         Callback waitingReader;
         Runnable listener;
@@ -222,7 +209,7 @@
     @Override
     public void onClose(Throwable cause) {
         synchronized (stateLock) {
-            readAheadBuffer.clear();
+            input.clear();
         }
         lookAhead.close();
         super.onClose(cause);
@@ -246,8 +233,7 @@
      */
     private boolean takeOverInterest(Callback callback) {
         synchronized (stateLock) {
-            boolean readable =
-                    readAheadBuffer.hasRemaining() || readAheadBuffer.isOverflowed() || endOfInput;
+            boolean readable = input.isReadable();
             if (!readable && readAheadPending) {
                 pendingReader = callback;
                 return true;
@@ -270,37 +256,8 @@
     @Override
     public int fill(ByteBuffer buffer) throws IOException {
         synchronized (stateLock) {
-            if (readAheadBuffer.hasRemaining()) {
-                return fillFromBuffer(buffer);
-            }
-            if (endOfInput || readAheadBuffer.isOverflowed()) {
-                return END_OF_INPUT;
-            }
-            int read = super.fill(buffer);
-            return read > 0 ? cutBehindRequest(buffer, read) : read;
-        }
-    }
-
-    private int fillFromBuffer(ByteBuffer buffer) {
-        ByteBuffer next = readAheadBuffer.peek();
-        next.limit(next.position() + Math.min(next.remaining(), BufferUtil.space(buffer)));
-        int count = boundary.find(next, startsRequest());
-        return readAheadBuffer.moveTo(buffer, count);
-    }
-
-    /** Takes back what was received behind the request that the HTTP connection reads. */
-    private int cutBehindRequest(ByteBuffer buffer, int read) {
-        int start = buffer.limit() - read;
-        int count = boundary.find(buffer.duplicate().position(start), startsRequest());
-        if (count == read) {
-            return read;
-        }
-        if (!readAheadBuffer.takeBack(buffer.duplicate().position(start + count))) {
-            boundary.giveUp();
-            return read;
+            return input.fill(buffer, super::fill, startsRequest());
         }
-        buffer.limit(start + count);
-        return count;
     }
 
     /** Whether the HTTP connection has read nothing of its next request. */
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/ReadAheadBuffer.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/ReadAheadBuffer.java
@@ -71,7 +71,7 @@
     }
 
     /** Adds bytes, or discards all if they exceed a limit. */
-    void add(ByteBuffer added) {
+    private void add(ByteBuffer added) {
         int total = bytes.remaining() + added.remaining();
         if (overflowed || total - returnedBytes > LIMIT_BYTES || !reserve(total)) {
             overflowed = true;
--- a/daemon/src/test/java/org/siskinramp/daemon/caller/PipeliningTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/caller/PipeliningTest.java
@@ -25,6 +25,7 @@
 class PipeliningTest {
 
     private static final int TIMEOUT_MILLISECONDS = 5_000;
+    private static final long IDLE_TIMEOUT_MILLISECONDS = 500;
     private static final long TOTAL_BODY_LIMIT_BYTES = 4_000_000;
 
     private final PipelineProtocol protocol = new PipelineProtocol(request -> {});
@@ -38,6 +39,7 @@
                     CallerServerOptions.builder()
                             .totalBodyLimitBytes(TOTAL_BODY_LIMIT_BYTES)
                             .drainTimeoutMilliseconds(200)
+                            .idleTimeoutMilliseconds(IDLE_TIMEOUT_MILLISECONDS)
                             .build());
 
     PipeliningTest() {
@@ -285,6 +287,19 @@
         awaitAllCancelled();
     }
 
+    /** The idle timeout is for callers that stall, not for slow backend servers. */
+    @Test
+    void aRequestThatWasStartedEarlyMayTakeLongerThanTheIdleTimeout() throws Exception {
+        try (Socket socket = connect("/a", "/b")) {
+            awaitProcessed("/a", "/b");
+            complete(0);
+            readUntil(socket, "\r\n\r\n/a");
+            Thread.sleep(2 * IDLE_TIMEOUT_MILLISECONDS);
+            complete(1);
+            readUntil(socket, "\r\n\r\n/b");
+        }
+    }
+
     /** A gateway asks right before it sends a request, when no event has told of the close. */
     @Test
     void theConnectionOfEachRequestIsFoundClosedRightAfterTheClose() throws Exception {
