--- a/library/src/main/java/org/siskinramp/gateway/RequestCompletion.java
+++ b/library/src/main/java/org/siskinramp/gateway/RequestCompletion.java
@@ -131,18 +131,23 @@
         environment
                 .metricsRecorder()
                 .recordDuration(RequestDuration.WHOLE, context.route().isIdempotent(), took);
+        LogEvent line =
+                LogEvent.named(event)
+                        .with("request", context.request().key().requestId())
+                        .with("content", context.request().contentHash())
+                        .with("route", context.route().name())
+                        .with("service", context.request().service())
+                        .with("result_code", code.number())
+                        .with("status", status)
+                        .with("reason", reason)
+                        .with("attempts", context.sendCount())
+                        .with("took_ms", took);
         environment
                 .eventLog()
                 .record(
-                        LogEvent.named(event)
-                                .with("request", context.request().key().requestId())
-                                .with("content", context.request().contentHash())
-                                .with("route", context.route().name())
-                                .with("service", context.request().service())
-                                .with("result_code", code.number())
-                                .with("status", status)
-                                .with("reason", reason)
-                                .with("attempts", context.sendCount())
-                                .with("took_ms", took));
+                        context.request()
+                                .workspace()
+                                .map(workspace -> line.with("workspace", workspace.name()))
+                                .orElse(line));
     }
 }
--- a/library/src/test/java/org/siskinramp/relay/OperatorDeltaTest.java
+++ b/library/src/test/java/org/siskinramp/relay/OperatorDeltaTest.java
@@ -4,13 +4,20 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.siskinramp.peer.OperatorDelta;
 import org.siskinramp.peer.OperatorNews;
+import org.siskinramp.route.CallerLimits;
 import org.siskinramp.route.Route;
+import org.siskinramp.route.RouteTable;
 import org.siskinramp.workspace.KeyDigest;
 import org.siskinramp.workspace.Workspace;
 import org.siskinramp.workspace.WorkspaceTable;
@@ -45,7 +52,11 @@
     }
 
     private void settle(int hosts) {
-        for (int number = 0; number < ROUTES; number++) {
+        settle(hosts, ROUTES);
+    }
+
+    private void settle(int hosts, int routeCount) {
+        for (int number = 0; number < routeCount; number++) {
             routes.add(route(number, 0));
         }
         for (int number = 0; number < WORKSPACES; number++) {
@@ -158,4 +169,45 @@
                 simulation.configurationReads <= 2 * simulation.readers().size(),
                 simulation.configurationReads + " reads, " + messages);
     }
+
+    /** Guards against tables that no operator wrote, and against hosts that stay behind. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void hostsHaveOnlyWrittenTablesThoughMessagesAreLostAndLate(long seed) {
+        Random random = new Random(seed);
+        settle(12, 90);
+        Map<Long, Long> digests = new HashMap<>();
+        simulation.isLost = message -> random.nextInt(4) == 0;
+        long version = 0;
+        for (int change = 0; change < 30; change++) {
+            int number = random.nextInt(routes.size());
+            routes.set(number, route(number, random.nextInt(5)));
+            int owner = random.nextInt(WORKSPACES);
+            workspaces.set(owner, workspace(owner, "key-" + owner + "-" + change));
+            if (random.nextInt(3) == 0) {
+                routes.remove(routes.size() - 1);
+            }
+            version = writeConfiguration();
+            digests.put(version, digestOfConfiguration());
+            simulation.messageDelayMilliseconds = random.nextLong(1, 300);
+            simulation.time.advance(random.nextInt(900));
+            for (RelaySimulation.Host host : simulation.hosts.values()) {
+                long actual = RouteTableDeltas.digest(host.routeTable);
+                assertEquals(digests.getOrDefault(host.routesVersion, actual), actual, host.name);
+            }
+        }
+        simulation.isLost = message -> false;
+        simulation.time.advance(PROPAGATION_LIMIT_MILLISECONDS);
+        assertAllHave(version);
+    }
+
+    private long digestOfConfiguration() {
+        return RouteTableDeltas.digest(
+                new RouteTable(
+                        1,
+                        simulation.routes,
+                        List.of(),
+                        new CallerLimits(1, 1, 1, 1),
+                        simulation.workspaces));
+    }
 }
--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/WorkspaceProcessTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/WorkspaceProcessTest.java
@@ -153,6 +153,8 @@
                     forgery.toString());
             assertServerGot(requestId, List.of("crew"));
         }
+        String log = deployment.gateways().get(0).output();
+        assertTrue(log.lines().anyMatch(line -> line.endsWith(" workspace=crew")), log);
         assertNoKeyLogged();
     }
 
