--- a/daemon/src/test/java/org/siskinramp/daemon/caller/SlowReaderTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/caller/SlowReaderTest.java
@@ -121,7 +121,7 @@
     private static final class LargeAnswerProtocol implements CallerProtocol {
 
         @Override
-        public AcceptedRequest read(Request request) {
+        public AcceptedRequest read(CallerRequest request) {
             return new AcceptedRequest() {
                 @Override
                 public String requestId() {
