--- a/library/src/main/java/org/siskinramp/gateway/ResetLimit.java
+++ b/library/src/main/java/org/siskinramp/gateway/ResetLimit.java
@@ -28,8 +28,7 @@
 
     /**
      * The limit leaves room for a request that this host does not see only if the servers accept at
-     * least this many. With fewer, the room costs more requests than the resets: in a process test
-     * with servers that accept three, 109 of 1,071 reads were refused.
+     * least this many. With fewer, the room costs more requests than the resets.
      */
     private static final int MINIMUM_REQUESTS_FOR_ROOM = 4;
 
