--- a/review/harness-2/DoubleSlash.java
+++ b/review/harness-2/DoubleSlash.java
@@ -5,15 +5,38 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Clients join a base address that ends with a slash and a path that begins with one, so that the
- * path begins with two slashes. A route with the prefix of one slash takes these requests.
+ * Paths begin with two slashes, as when a client joins a base address that ends with a slash and a
+ * path that begins with one. A public route with the prefix of one slash takes these requests.
  */
 final class DoubleSlash extends ReviewCase {
 
     private static final int TIMEOUT_MILLISECONDS = 1200;
     private static final int REQUESTS = 40;
+    private static final String KEY = "2ftimaj3nr26tta828m8";
 
-    private final Map<String, String> runs = new ConcurrentHashMap<>();
+    private final Map<String, Run> runs = new ConcurrentHashMap<>();
+
+    /** What a server ran, and for which tenant. */
+    private record Run(String target, String tenant) {}
+
+    /** A request, by its method, its path without the disruption and with it, and its key. */
+    private enum Kind {
+        PUBLIC_PAGE("GET", "/lines/%d/stops?lang=kk", "//lines/%d/stops?lang=kk", false),
+        BOOKING_WITH_KEY("POST", "/bookings/%d", "//bookings/%d", true),
+        BOOKING_WITHOUT_KEY("POST", "/bookings/%d", "//x/bookings/%d", false);
+
+        private final String method;
+        private final String path;
+        private final String changedPath;
+        private final boolean hasKey;
+
+        Kind(String method, String path, String changedPath, boolean hasKey) {
+            this.method = method;
+            this.path = path;
+            this.changedPath = changedPath;
+            this.hasKey = hasKey;
+        }
+    }
 
     public static void main(String[] arguments) {
         main(new DoubleSlash(), arguments);
@@ -21,12 +44,11 @@
 
     @Override
     boolean run() throws Exception {
-        store().put(
-                        "op",
-                        "config",
-                        configuration(
-                                route("all", "/", "safe", TIMEOUT_MILLISECONDS),
-                                route("lots", "/lots/", "unsafe", TIMEOUT_MILLISECONDS)));
+        String routes =
+                configuration(
+                        publicRoute(route("pages", "/", "safe", TIMEOUT_MILLISECONDS)),
+                        route("bookings", "/bookings/", "unsafe", TIMEOUT_MILLISECONDS));
+        store().put("op", "config", withTenant(routes));
         List<Upstream> servers = new ArrayList<>();
         for (int number = 1; number <= 2; number++) {
             servers.add(new Upstream("i-" + number, "desk", store(), this::answer));
@@ -40,41 +62,64 @@
         }
     }
 
+    private static String publicRoute(String route) {
+        return route.substring(0, route.length() - 1) + ",\"public\":true}";
+    }
+
+    private static String withTenant(String configuration) {
+        return configuration.replace(
+                "\"base_version\"",
+                "\"tenants\":[{\"name\":\"sese880\",\"api_keys\":[\""
+                        + KEY
+                        + "\"],\"rate_per_s\":202,\"burst\":202}],\"base_version\"");
+    }
+
     private boolean answer(Upstream.Call call) throws IOException {
         Message request = call.request();
-        runs.put(call.id(), request.method() + " " + request.target());
-        record().line("run %s: %s", call.id(), request.startLine());
+        Run run =
+                new Run(
+                        request.method() + " " + request.target(),
+                        request.header("X-Siskinramp-Tenant").orElse("none"));
+        runs.put(call.id(), run);
+        record().line("run %s: %s, tenant %s", call.id(), run.target, run.tenant);
         return call.answer(request.target().getBytes());
     }
 
     private boolean play(GatewayProcess gateway) {
-        String base = hasTrouble() ? "/" : "";
         int changed = 0;
-        int ran = 0;
+        int bookedWithoutKey = 0;
         for (int number = 0; number < REQUESTS; number++) {
+            Kind kind = Kind.values()[number % Kind.values().length];
             String id = "r-" + number;
-            String method = number % 2 == 0 ? "GET" : "POST";
-            String target = base + (number % 2 == 0 ? "/boards/" : "/lots/") + number + "/bids?lang=es";
-            String outcome = ask(gateway, method, target, id);
-            String run = runs.get(id);
-            record().line("sent %s: %s %s, answered %s", id, method, target, outcome);
-            ran += run == null ? 0 : 1;
-            if (run != null && !run.equals(method + " " + target)) {
+            String path = String.format(hasTrouble() ? kind.changedPath : kind.path, number);
+            String outcome = ask(gateway, kind, path, id);
+            Run run = runs.get(id);
+            record().line("sent %s: %s %s, answered %s", id, kind, path, outcome);
+            if (run != null && !run.target.equals(kind.method + " " + path)) {
                 changed++;
-                record().result("UNASKED: sent %s %s, run %s", method, target, run);
+                record().result(
+                                "UNASKED: sent %s %s, run %s for tenant %s",
+                                kind.method, path, run.target, run.tenant);
+                bookedWithoutKey +=
+                        run.target.startsWith("POST /bookings/") && !kind.hasKey ? 1 : 0;
             }
         }
-        record().result("%d of %d requests ran, %d of them changed", ran, REQUESTS, changed);
-        if (!hasTrouble() && ran == 0) {
+        record().result(
+                        "%d of %d requests ran, %d of them changed, %d bookings without a key",
+                        runs.size(), REQUESTS, changed, bookedWithoutKey);
+        if (!hasTrouble() && runs.isEmpty()) {
             throw new IllegalStateException("no request runs");
         }
         return changed > 0;
     }
 
-    private static String ask(GatewayProcess gateway, String method, String target, String id) {
+    private static String ask(GatewayProcess gateway, Kind kind, String path, String id) {
         try (Caller caller = new Caller(gateway.callerPort(), 2 * TIMEOUT_MILLISECONDS)) {
-            String length = method.equals("POST") ? "Content-Length: 0\r\n" : "";
-            caller.send(Caller.head(method, target, id, TIMEOUT_MILLISECONDS) + length + "\r\n");
+            caller.send(
+                    Caller.head(kind.method, path, id, TIMEOUT_MILLISECONDS)
+                            + (kind.hasKey ? "Authorization: Bearer " + KEY + "\r\n" : "")
+                            + (kind.method.equals("POST") ? "Content-Length: 0\r\n" : "")
+                            + "\r\n");
             return caller.read()
                     .map(answer -> answer.startLine() + ", body " + new String(answer.body()))
                     .orElse("closed");
