Show the endless answer within the limits of processor and link

Review case 6: the gateway has 0.6 of a core as a quota, and all endless answers share a link of 1,000 Mbit/s.

--- a/review/harness-2/EndlessBody.java
+++ b/review/harness-2/EndlessBody.java
@@ -4,17 +4,21 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 
 /**
  * One of seven backend servers starts an answer and sends, where the size of a chunk is due, bytes
- * without end until the gateway closes the connection.
+ * without end until the gateway closes the connection. The gateway has 0.6 of a core, and all that
+ * the server sends comes over a link of 1,000 Mbit/s.
  */
 final class EndlessBody extends ReviewCase {
 
     private static final int SERVERS = 7;
     private static final int CALLERS = 12;
     private static final int TIMEOUT_MILLISECONDS = 1200;
-    private static final int PAUSE_MILLISECONDS = 50;
+    private static final int PAUSE_MILLISECONDS = 300;
+    private static final double CORE_SHARE = 0.6;
+    private static final int LINK_BYTES_PER_MICROSECOND = 125;
     private static final int WORK_MILLISECONDS = 20;
     private static final int CALM_MILLISECONDS = 5_000;
     private static final int SETTLING_MILLISECONDS = 10_000;
@@ -23,6 +27,7 @@
 
     private final AtomicInteger streams = new AtomicInteger();
     private final AtomicInteger endlessAnswers = new AtomicInteger();
+    private long linkFreeAt;
     private volatile boolean disrupted;
     private volatile boolean stopped;
 
@@ -41,7 +46,8 @@
             servers.add(new Upstream("i-" + number, "desk", store(), EndlessBody::answer));
         }
         servers.add(new Upstream("i-" + SERVERS, "desk", store(), this::answerInTrouble));
-        try (GatewayProcess gateway = startGateway("edge-1")) {
+        try (GatewayProcess gateway = startGateway("edge-1");
+                ProcessorQuota quota = gateway.limitTo(CORE_SHARE)) {
             return play(gateway);
         } finally {
             for (Upstream server : servers) {
@@ -70,6 +76,7 @@
             call.write(call.answerHead("200 OK") + "Transfer-Encoding: chunked\r\n\r\n");
             byte[] zeros = "0".repeat(16 * 1024).getBytes();
             while (!stopped) {
+                waitForLink(zeros.length);
                 call.output().write(zeros);
             }
         } finally {
@@ -78,6 +85,18 @@
         return false;
     }
 
+    /** Waits until the link, which all answers share, has room for more bytes. */
+    private void waitForLink(int bytes) {
+        long due;
+        synchronized (this) {
+            linkFreeAt =
+                    Math.max(linkFreeAt, System.nanoTime())
+                            + 1_000L * bytes / LINK_BYTES_PER_MICROSECOND;
+            due = linkFreeAt;
+        }
+        LockSupport.parkNanos(due - System.nanoTime());
+    }
+
     private boolean play(GatewayProcess gateway) throws Exception {
         Tally calm = ask(gateway, CALM_MILLISECONDS, "calm");
         disrupted = hasTrouble();
@@ -103,7 +122,10 @@
         if (calm.served.get() * 10 < calm.asked.get() * 9) {
             throw new IllegalStateException("less than nine tenths are served before the trouble");
         }
-        return measured.served.get() == 0 && idleProcessorMilliseconds >= IDLE_MILLISECONDS;
+        // All but a tenth of what the process may use while it has nothing to do.
+        boolean keepsProcessor =
+                idleProcessorMilliseconds > 0.9 * CORE_SHARE * IDLE_MILLISECONDS;
+        return measured.served.get() == 0 && keepsProcessor;
     }
 
     private Tally ask(GatewayProcess gateway, int milliseconds, String span) throws Exception {
--- a/review/harness-2/GatewayProcess.java
+++ b/review/harness-2/GatewayProcess.java
@@ -114,6 +114,11 @@
         new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
     }
 
+    /** Limits the process to a share of one core. */
+    ProcessorQuota limitTo(double share) throws IOException {
+        return new ProcessorQuota(process.pid(), share);
+    }
+
     /** Returns the processor time that the process has used. */
     Duration processorTime() {
         return process.info().totalCpuDuration().orElse(Duration.ZERO);
