--- a/review/harness-2/Caller.java
+++ b/review/harness-2/Caller.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.concurrent.locks.LockSupport;
 
 /** A client with one connection that it keeps. */
 final class Caller implements AutoCloseable {
@@ -60,15 +61,17 @@
     }
 
     /** Reads the bytes of a body no faster than a slow link delivers them. */
-    void skipSlowly(int count, int bytesPerMillisecond) throws IOException, InterruptedException {
+    void skipSlowly(int count, int bytesPerMillisecond) throws IOException {
         int missing = count;
+        long start = System.nanoTime();
         while (missing > 0) {
             int read = input.read(new byte[Math.min(missing, bytesPerMillisecond)]);
             if (read < 0) {
                 throw new EOFException(missing + " bytes of " + count + " are missing");
             }
             missing -= read;
-            Thread.sleep(1);
+            long due = start + (count - missing) * 1_000_000L / bytesPerMillisecond;
+            LockSupport.parkNanos(due - System.nanoTime());
         }
     }
 
--- a/review/harness-2/DoubleSlash.java
+++ b/review/harness-2/DoubleSlash.java
@@ -87,6 +87,7 @@
 
     private boolean play(GatewayProcess gateway) {
         int changed = 0;
+        int changedBySoundClients = 0;
         int bookedWithoutKey = 0;
         for (int number = 0; number < REQUESTS; number++) {
             Kind kind = Kind.values()[number % Kind.values().length];
@@ -97,6 +98,7 @@
             record().line("sent %s: %s %s, answered %s", id, kind, path, outcome);
             if (run != null && !run.target.equals(kind.method + " " + path)) {
                 changed++;
+                changedBySoundClients += kind == Kind.BOOKING_WITHOUT_KEY ? 0 : 1;
                 record().result(
                                 "UNASKED: sent %s %s, run %s for tenant %s",
                                 kind.method, path, run.target, run.tenant);
@@ -110,7 +112,8 @@
         if (!hasTrouble() && runs.isEmpty()) {
             throw new IllegalStateException("no request runs");
         }
-        return changed > 0;
+        // A client without a key may send anything; the rule is judged by the other requests.
+        return changedBySoundClients > 0;
     }
 
     private static String ask(GatewayProcess gateway, Kind kind, String path, String id) {
--- a/review/harness-2/Upstream.java
+++ b/review/harness-2/Upstream.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * A backend server that answers one request at a time on a connection, registers itself in the
@@ -26,6 +27,7 @@
     private final boolean answersEarly;
     private final ServerSocket listener;
     private final long born = System.currentTimeMillis();
+    private final AtomicInteger running = new AtomicInteger();
     private int sequence;
     private volatile boolean closed;
 
@@ -58,7 +60,8 @@
                     + id()
                     + "\r\nX-Siskinramp-Upstream-Signature: sig-"
                     + id()
-                    + "\r\nX-Siskinramp-Upstream-Load: 1,0,8\r\n";
+                    + "\r\n"
+                    + upstream.loadHeader();
         }
 
         boolean answer(byte[] body) throws IOException {
@@ -111,6 +114,10 @@
         return id;
     }
 
+    private String loadHeader() {
+        return "X-Siskinramp-Upstream-Load: " + running.get() + ",0,8\r\n";
+    }
+
     private void register() {
         try {
             while (!closed) {
@@ -167,7 +174,9 @@
             call.write(
                     "HTTP/1.1 200 OK\r\nX-Siskinramp-Instance-Id: "
                             + id
-                            + "\r\nX-Siskinramp-Upstream-Load: 0,0,8\r\nContent-Length: 0\r\n\r\n");
+                            + "\r\n"
+                            + loadHeader()
+                            + "Content-Length: 0\r\n\r\n");
             return true;
         }
         String wanted = request.header("X-Siskinramp-Target-Instance").orElse(id);
@@ -178,7 +187,12 @@
                             + "\r\nContent-Length: 0\r\n\r\n");
             return true;
         }
-        return handler.handle(call);
+        running.incrementAndGet();
+        try {
+            return handler.handle(call);
+        } finally {
+            running.decrementAndGet();
+        }
     }
 
     @Override
