Tell requests that were not passed on apart in the record of case 10

The record wrote "no complete answer to ID, which ran at null" for requests that the gateway had never passed on, though only those that ran are counted.

--- a/review/harness-2/AnswersAtShutdown.java
+++ b/review/harness-2/AnswersAtShutdown.java
@@ -196,8 +196,13 @@
 
         private void countUnanswered(String id) {
             String server = runs.get(id);
-            record().line("no complete answer to %s, which ran at %s", id, server);
-            (server == null ? notPassedOn : lost).incrementAndGet();
+            if (server == null) {
+                record().line("%s was not passed on", id);
+                notPassedOn.incrementAndGet();
+            } else {
+                record().line("no complete answer to %s, which ran at %s", id, server);
+                lost.incrementAndGet();
+            }
         }
     }
 }
