--- a/review/harness-2/AnswersAtShutdown.java
+++ b/review/harness-2/AnswersAtShutdown.java
@@ -26,7 +26,7 @@
     private static final int LINK_BYTES_PER_MILLISECOND = 875;
 
     private static final int INTERVAL_MILLISECONDS = 10;
-    private static final int CALM_MILLISECONDS = 2_000;
+    private static final int CALM_MILLISECONDS = 3_500;
     private static final int LAST_REQUEST_MILLISECONDS = 2_000;
 
     private final Map<String, String> runs = new ConcurrentHashMap<>();
--- a/review/harness-2/EndlessBody.java
+++ b/review/harness-2/EndlessBody.java
@@ -123,9 +123,7 @@
             throw new IllegalStateException("less than nine tenths are served before the trouble");
         }
         // All but a tenth of what the process may use while it has nothing to do.
-        boolean keepsProcessor =
-                idleProcessorMilliseconds > 0.9 * CORE_SHARE * IDLE_MILLISECONDS;
-        return measured.served.get() == 0 || keepsProcessor;
+        return idleProcessorMilliseconds > 0.9 * CORE_SHARE * IDLE_MILLISECONDS;
     }
 
     private Tally ask(GatewayProcess gateway, int milliseconds, String span) throws Exception {
