Deliver all answers before a connection is closed

Callers with requests sent ahead lost the last answers on their connections at a planned stop: they ended in the middle, with a reset, though a backend server had run them.

Cause: the end point closed the socket as soon as the last answer had been written to it. If bytes from the caller were unread then, or arrived later, the kernel reset the connection and dropped what it had not delivered. This was no matter of shutdowns alone: each close did so while a caller was still sending, after the refusal of a malformed or too large head, after too many bytes sent ahead, a caller's own "Connection: close", the idle time-out (at the next request) and the write time-out. A hang-up signal closes nothing.

Evidence: prints at AbstractEndPoint.close() in a copy showed the close right after shutdownOutput, from HttpConnection.onFillable and abort.

A close now ends the output only, and discards what still arrives until the caller has closed its side, for at most 5 s and 16 MB; a socket without unread bytes delivers all that was written. When a server is stopped it waits for these connections, at most for its drain timeout.

--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerHandler.java
@@ -30,6 +30,7 @@
     private final RequestAdmission admission;
     private final RequestProcessor processor;
     private final AnswerDelivery delivery;
+    private final LingeringConnections lingeringConnections = new LingeringConnections();
 
     CallerHandler(
             CallerProtocol protocol,
@@ -54,11 +55,16 @@
         return admission;
     }
 
+    LingeringConnections lingeringConnections() {
+        return lingeringConnections;
+    }
+
     ConnectionParts connectionParts() {
         return new ConnectionParts(
                 bodyMemoryBudget,
                 new HeadParser(options.headerLimitBytes()),
                 new EarlyStarter(protocol, admission, processor, counters, clock),
+                lingeringConnections,
                 clock);
     }
 
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerServer.java
@@ -181,6 +181,16 @@
         return handler.admission().requestsInProgress().count();
     }
 
+    /**
+     * Returns the number of connections that are closed, but whose callers may still receive what
+     * was written to them.
+     *
+     * @return the number of connections
+     */
+    public int connectionsClosing() {
+        return handler.lingeringConnections().count();
+    }
+
     /** Returns the bytes held for bodies, bytes sent ahead, and answers that wait. */
     long reservedBytes() {
         return handler.connectionParts().memoryBudget().reservedBytes();
@@ -211,7 +221,8 @@
     }
 
     /**
-     * Refuses new requests, waits up to a timeout for those in progress, and closes all sockets.
+     * Refuses new requests, waits up to a timeout for those in progress, and as long for callers to
+     * receive the last answers, and closes all sockets.
      */
     public void stop() {
         refuseNewRequests();
@@ -219,6 +230,8 @@
                 handler.admission()
                         .requestsInProgress()
                         .awaitNone(options.drainTimeoutMilliseconds());
+        handler.lingeringConnections().awaitNone(options.drainTimeoutMilliseconds());
+        handler.lingeringConnections().stop();
         eventLog.record(LogEvent.named("caller_server_stopped").with("requests_cut", cut));
         try {
             server.stop();
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CloseDetectingEndPoint.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CloseDetectingEndPoint.java
@@ -41,6 +41,7 @@
     private final Executor executor;
     private final ConnectionInput input;
     private final LookAhead lookAhead;
+    private final LingeringClose lingeringClose;
     private boolean readAheadPending;
     private Callback pendingReader;
     private Runnable closeListener;
@@ -56,6 +57,9 @@
         this.executor = executor;
         this.input = new ConnectionInput(parts.memoryBudget(), parts.parser());
         this.lookAhead = parts.newLookAhead(this);
+        this.lingeringClose =
+                new LingeringClose(
+                        channel, selector, scheduler, parts.lingeringConnections(), this::close);
     }
 
     /**
@@ -206,6 +210,46 @@
         }
     }
 
+    /** Closes the socket, but not before the caller has received what was written to it. */
+    @Override
+    public void doClose() {
+        boolean closedByCaller;
+        synchronized (stateLock) {
+            closedByCaller = input.isEnded();
+        }
+        if (closedByCaller || !lingeringClose.discardInput()) {
+            lingeringClose.release();
+            super.doClose();
+        }
+    }
+
+    @Override
+    protected void doShutdownOutput() {
+        super.doShutdownOutput();
+        var unused = lingeringClose.awaitCaller();
+    }
+
+    @Override
+    public boolean isOpen() {
+        return !lingeringClose.isDiscarding() && super.isOpen();
+    }
+
+    @Override
+    public Runnable onSelected() {
+        if (!lingeringClose.isDiscarding()) {
+            return super.onSelected();
+        }
+        lingeringClose.onReadable();
+        return null;
+    }
+
+    @Override
+    public void updateKey() {
+        if (!lingeringClose.isDiscarding()) {
+            super.updateKey();
+        }
+    }
+
     @Override
     public void onClose(Throwable cause) {
         synchronized (stateLock) {
--- a/daemon/src/test/java/org/siskinramp/daemon/caller/LookAheadTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/caller/LookAheadTest.java
@@ -36,6 +36,7 @@
                                     new RequestProcessor(event -> {}),
                                     (counter, amount) -> {},
                                     clock),
+                            new LingeringConnections(),
                             clock)
                     .newLookAhead(new Sent());
 
--- a/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamStandIn.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/upstream/UpstreamStandIn.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -79,6 +80,7 @@
     private volatile String state = "ready";
     private volatile List<Header> additionalHeaders = List.of();
     private final AtomicInteger receivedRequests = new AtomicInteger();
+    private volatile int minimumAnswerBytes;
     private volatile long remainingWarmUpMilliseconds;
     private volatile boolean closed;
     private volatile boolean entryRemoved;
@@ -215,6 +217,15 @@
         serviceTimeMilliseconds = milliseconds;
     }
 
+    /**
+     * Sets the size of answers that end from now on; shorter ones are padded with zero bytes.
+     *
+     * @param bytes the size of a body, in bytes
+     */
+    public void setMinimumAnswerBytes(int bytes) {
+        minimumAnswerBytes = bytes;
+    }
+
     /**
      * Sets the remaining warm-up time that the server publishes and reports. The value does not
      * decrease with time.
@@ -406,9 +417,10 @@
         running.decrementAndGet();
         String requestId = exchange.header(REQUEST_ID).orElse("");
         runListener.ended(requestId);
-        byte[] body =
+        byte[] text =
                 (exchange.method() + " " + exchange.path() + " " + exchange.body().length)
                         .getBytes(StandardCharsets.UTF_8);
+        byte[] body = Arrays.copyOf(text, Math.max(text.length, minimumAnswerBytes));
         List<Header> headers = withAdditionalHeaders();
         headers.add(
                 new Header(
