Wait for answers in delivery before a gateway ends

A caller behind a slow link that went on sending lost answers that had been passed on when the gateway's process ended after a SIGTERM.

Cause: the shutdown waited for requests in progress only. A request counts as ended when its answer has been written to the socket; up to some hundred kilobytes may lie in the kernel's send buffer then. When the process ends, the kernel closes the socket, and resets it at the next bytes of the caller.

`stopped` tells in connections_cut how many were left.

--- a/daemon/src/main/java/org/siskinramp/daemon/gateway/GatewayShutdown.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/gateway/GatewayShutdown.java
@@ -11,7 +11,8 @@
 /**
  * Shuts a gateway down gracefully. It closes each caller connection after its next answer, accepts
  * new connections until the platform has noticed that this host is not ready, and then waits for
- * the requests in progress. Requests that may last beyond the end are refused from the start.
+ * the requests in progress and until callers have received the last answers. Requests that may last
+ * beyond the end are refused from the start.
  */
 final class GatewayShutdown {
 
@@ -55,7 +56,10 @@
         this.eventLog = eventLog;
     }
 
-    /** Shuts down; returns when no request is in progress or the grace time is nearly over. */
+    /**
+     * Shuts down; returns when no request is in progress and no connection is being closed, or when
+     * the grace time is nearly over.
+     */
     void run() {
         long start = clock.monotonicMilliseconds();
         long end = start + graceMilliseconds - EXIT_RESERVE_MILLISECONDS;
@@ -72,20 +76,25 @@
         eventLog.record(
                 LogEvent.named("stopped")
                         .with("requests_cut", callers.requestsInProgress())
+                        .with("connections_cut", callers.connectionsClosing())
                         .with("took_ms", clock.monotonicMilliseconds() - start));
     }
 
-    /** Waits until no request has been in progress for the quiet period, or until the end. */
+    /** Waits until the callers' side has been idle for the quiet period, or until the end. */
     private void awaitQuietPeriod(long end) {
         long now = clock.monotonicMilliseconds();
         long lastBusy = now;
         while (now < end && now - lastBusy < QUIET_PERIOD_MILLISECONDS) {
             sleep(POLL_INTERVAL_MILLISECONDS);
             now = clock.monotonicMilliseconds();
-            lastBusy = callers.requestsInProgress() > 0 ? now : lastBusy;
+            lastBusy = isBusy() ? now : lastBusy;
         }
     }
 
+    private boolean isBusy() {
+        return callers.requestsInProgress() > 0 || callers.connectionsClosing() > 0;
+    }
+
     private void sleep(long milliseconds) {
         CompletableFuture<Void> elapsed = new CompletableFuture<>();
         scheduler.schedule(milliseconds, () -> elapsed.complete(null));
--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/AnswersAtShutdownProcessTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/AnswersAtShutdownProcessTest.java
@@ -23,6 +23,10 @@
     private static final int REQUESTS_AHEAD = 3;
     private static final int ANSWER_BYTES = 30_000;
     private static final int BYTES_PER_MILLISECOND = 875;
+    private static final int LARGE_ANSWER_BYTES = 400_000;
+    private static final int SLOW_BYTES_PER_MILLISECOND = 100;
+    private static final int SLOW_REQUESTS_AHEAD = 12;
+    private static final long SLOW_INTERVAL_MILLISECONDS = 350;
     private static final long CALM_MILLISECONDS = 1_000;
     private static final long SIGNAL_INTERVAL_MILLISECONDS = 40;
 
@@ -96,4 +100,19 @@
         assertEquals(0, exit.join());
         assertTrue(callers.stream().allMatch(caller -> caller.answerCount() >= 3));
     }
+
+    /** The first answer is delivered long after the time in which a gateway without load ends. */
+    @Test
+    void theProcessDoesNotEndWhileAnswersAreDelivered() throws Exception {
+        setAnswerBytes(LARGE_ANSWER_BYTES);
+        connect(SLOW_REQUESTS_AHEAD, SLOW_INTERVAL_MILLISECONDS, SLOW_BYTES_PER_MILLISECOND);
+        Thread.sleep(SLOW_INTERVAL_MILLISECONDS / 2);
+        setAnswerBytes(ANSWER_BYTES);
+        CompletableFuture<Integer> exit = CompletableFuture.supplyAsync(gateway::terminate);
+
+        assertEquals(List.of(), awaitCutAnswers());
+        assertEquals(0, exit.join());
+        assertEquals(2, callers.get(0).answerCount());
+        assertEquals("0", gateway.await("stopped", "connections_cut"));
+    }
 }
