Wait for the event in hand when the log is flushed

A gateway's last line, `stopped`, could be missing from its log.

Cause: BoundedEventLog.flush waited until its queue was empty. The writing thread has taken the last event from the queue by then, and may not have written it when the process ends right after the flush.

Events are counted as unwritten until the target has returned.

--- a/daemon/src/main/java/org/siskinramp/daemon/log/BoundedEventLog.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/log/BoundedEventLog.java
@@ -5,6 +5,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.siskinramp.log.EventLog;
 import org.siskinramp.log.LogEvent;
 import org.siskinramp.time.Clock;
@@ -26,6 +27,7 @@
     private final Clock clock;
     private final int linesPerSecond;
     private final BlockingQueue<LogEvent> queue = new ArrayBlockingQueue<>(QUEUE_EVENTS);
+    private final AtomicInteger unwritten = new AtomicInteger();
     private final Map<String, Integer> countsInWindow = new HashMap<>();
     private final Map<String, Integer> dropped = new TreeMap<>();
     private final Thread writer;
@@ -63,15 +65,24 @@
                 countsInWindow.clear();
             }
             boolean fits = countsInWindow.merge(event.name(), 1, Integer::sum) <= linesPerSecond;
-            if (!fits || !queue.offer(event)) {
+            if (!fits || !enqueue(event)) {
                 dropped.merge(event.name(), 1, Integer::sum);
             }
         }
-        if (summary != null && !queue.offer(summary)) {
+        if (summary != null && !enqueue(summary)) {
             countDropped(summary);
         }
     }
 
+    private boolean enqueue(LogEvent event) {
+        unwritten.incrementAndGet();
+        boolean accepted = queue.offer(event);
+        if (!accepted) {
+            unwritten.decrementAndGet();
+        }
+        return accepted;
+    }
+
     /** Counts a summary that found no room in the queue as a dropped event. */
     private synchronized void countDropped(LogEvent summary) {
         dropped.merge(summary.name(), 1, Integer::sum);
@@ -88,6 +99,7 @@
         try {
             while (true) {
                 target.record(queue.take());
+                unwritten.decrementAndGet();
             }
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
@@ -95,14 +107,13 @@
     }
 
     /**
-     * Waits until the queue of events is empty, at most for a given time. The last event may still
-     * be being written then.
+     * Waits until all events have been passed on, at most for a given time.
      *
      * @param limitMilliseconds the maximum time to wait
      */
     public void flush(long limitMilliseconds) {
         long end = clock.monotonicMilliseconds() + limitMilliseconds;
-        while (!queue.isEmpty() && clock.monotonicMilliseconds() < end) {
+        while (unwritten.get() > 0 && clock.monotonicMilliseconds() < end) {
             try {
                 Thread.sleep(FLUSH_POLL_MILLISECONDS);
             } catch (InterruptedException stopped) {
--- a/daemon/src/test/java/org/siskinramp/daemon/log/BoundedEventLogTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/log/BoundedEventLogTest.java
@@ -4,8 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.siskinramp.log.LogEvent;
@@ -15,6 +17,7 @@
 
     private static final int LINES_PER_SECOND = 3;
     private static final int EVENTS = 10_000;
+    private static final long FLUSH_MILLISECONDS = 100;
 
     private final AtomicLong now = new AtomicLong();
     private final List<String> lines = new CopyOnWriteArrayList<>();
@@ -62,6 +65,34 @@
         never.countDown();
     }
 
+    /** Guards against the loss of the last line of a process that exits after a flush. */
+    @Test
+    void aFlushWaitsForTheEventThatIsBeingWritten() throws Exception {
+        CountDownLatch begun = new CountDownLatch(1);
+        CountDownLatch released = new CountDownLatch(1);
+        BoundedEventLog log =
+                new BoundedEventLog(
+                        event -> {
+                            begun.countDown();
+                            awaitQuietly(released);
+                            lines.add(event.toLine());
+                        },
+                        clock,
+                        LINES_PER_SECOND);
+        log.start();
+        log.record(LogEvent.named("stopped"));
+        begun.await();
+        CompletableFuture<List<String>> flushed =
+                CompletableFuture.supplyAsync(
+                        () -> {
+                            log.flush(1);
+                            return List.copyOf(lines);
+                        });
+        Thread.sleep(FLUSH_MILLISECONDS);
+        released.countDown();
+        assertEquals(List.of("event=stopped"), flushed.get(5, TimeUnit.SECONDS));
+    }
+
     private void await(int count) throws InterruptedException {
         long end = System.nanoTime() + 5_000_000_000L;
         while (lines.size() < count && System.nanoTime() < end) {
