Count lingering connections as requests in progress are counted

Found by reading the change again. LingeringConnections had a wait of its own beside that of InProgressRequests, which it uses now under the name ActivityCounter; so CallerServer.stop learns how many connections remain, and caller_server_stopped tells it in connections_cut. awaitCaller did not wait, and is named holdForCaller. LingeringCloseTest.aCallerThatSendsWithoutEndIsNotReadWithoutEnd passed without the limit of 16 MB: it counts what was sent now as well, and fails in a copy whose limit is 16 GB.

--- a/daemon/src/main/java/org/siskinramp/daemon/caller/InProgressRequests.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/ActivityCounter.java
@@ -4,8 +4,8 @@
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
 
-/** Counts the requests in progress, so that a shutdown can wait until all have ended. */
-final class InProgressRequests {
+/** Counts activities, such as requests in progress, so that a shutdown can wait for their end. */
+final class ActivityCounter {
 
     private final ReentrantLock lock = new ReentrantLock();
     private final Condition ended = lock.newCondition();
@@ -20,12 +20,12 @@
         }
     }
 
-    /** Counts a request regardless of the limit. */
+    /** Counts an activity regardless of the limit. */
     void begin() {
         var unused = begin(Integer.MAX_VALUE);
     }
 
-    /** Counts a request; returns false if the limit is reached. */
+    /** Counts an activity; returns false if the limit is reached. */
     boolean begin(int limit) {
         lock.lock();
         try {
@@ -49,7 +49,7 @@
         }
     }
 
-    /** Waits until no request is in progress; returns how many remain after the timeout. */
+    /** Waits until all activities have ended; returns how many remain after the timeout. */
     int awaitNone(long timeoutMilliseconds) {
         long remainingNanoseconds = TimeUnit.MILLISECONDS.toNanos(timeoutMilliseconds);
         lock.lock();
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerServer.java
@@ -226,13 +226,17 @@
      */
     public void stop() {
         refuseNewRequests();
-        int cut =
+        int requestsCut =
                 handler.admission()
                         .requestsInProgress()
                         .awaitNone(options.drainTimeoutMilliseconds());
-        handler.lingeringConnections().awaitNone(options.drainTimeoutMilliseconds());
+        int connectionsCut =
+                handler.lingeringConnections().awaitNone(options.drainTimeoutMilliseconds());
         handler.lingeringConnections().stop();
-        eventLog.record(LogEvent.named("caller_server_stopped").with("requests_cut", cut));
+        eventLog.record(
+                LogEvent.named("caller_server_stopped")
+                        .with("requests_cut", requestsCut)
+                        .with("connections_cut", connectionsCut));
         try {
             server.stop();
         } catch (Exception failure) {
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerServerOptions.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerServerOptions.java
@@ -200,7 +200,8 @@
         }
 
         /**
-         * Sets how long {@link CallerServer#stop} waits for requests in progress.
+         * Sets how long {@link CallerServer#stop} waits for requests in progress, and then for
+         * callers to receive the last answers.
          *
          * @param value milliseconds
          * @return this builder
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CloseDetectingEndPoint.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CloseDetectingEndPoint.java
@@ -226,7 +226,7 @@
     @Override
     protected void doShutdownOutput() {
         super.doShutdownOutput();
-        var unused = lingeringClose.awaitCaller();
+        var unused = lingeringClose.holdForCaller();
     }
 
     @Override
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/LingeringClose.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/LingeringClose.java
@@ -15,7 +15,8 @@
  * Closes a connection so that its caller receives everything that was written to it: once the
  * output has ended, the socket stays open, and what the caller still sends is discarded, until the
  * caller has closed its side too. A socket that is closed with unread bytes, or receives more of
- * them later, resets the connection, and what has not been delivered by then is lost.
+ * them later, resets the connection, and what has not been delivered by then is lost (RFC 9112,
+ * section 9.6).
  */
 final class LingeringClose {
 
@@ -23,7 +24,7 @@
     static final long LIMIT_MILLISECONDS = 5_000;
 
     /** Nothing more is read beyond this, so that the network slows the caller down. */
-    private static final long LIMIT_BYTES = 16L * 1024 * 1024;
+    static final long LIMIT_BYTES = 16L * 1024 * 1024;
 
     /** Bytes that one call reads at most, so that a caller that floods delays no other. */
     private static final int READ_LIMIT_BYTES = 64 * 1024;
@@ -60,11 +61,12 @@
     }
 
     /**
-     * Begins to wait for the caller, since the output has ended; the HTTP connection still reads.
+     * Holds the connection until its caller has closed it, since the output has ended; the HTTP
+     * connection still reads.
      *
      * @return false if the server has stopped, so that the socket must be closed at once
      */
-    boolean awaitCaller() {
+    boolean holdForCaller() {
         if (!connections.add(this)) {
             return false;
         }
@@ -80,7 +82,7 @@
      * @return false if the socket must be closed at once
      */
     boolean discardInput() {
-        if (ended || !awaitCaller()) {
+        if (ended || !holdForCaller()) {
             return false;
         }
         try {
@@ -144,7 +146,7 @@
         selector.submit(registered -> {});
     }
 
-    /** Waits no longer for the caller; the socket is closed by somebody else. */
+    /** Holds the connection no longer; its end point closes the socket. */
     void release() {
         ended = true;
         connections.remove(this);
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/LingeringConnections.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/LingeringConnections.java
@@ -3,7 +3,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Holds the connections whose output has ended and whose callers have not closed them, so that a
@@ -12,35 +11,33 @@
 final class LingeringConnections {
 
     private final Set<LingeringClose> connections = new HashSet<>();
+    private final ActivityCounter counter = new ActivityCounter();
     private boolean stopped;
 
-    synchronized int count() {
-        return connections.size();
+    int count() {
+        return counter.count();
     }
 
     /** Holds a connection; returns false if the server has stopped. */
     synchronized boolean add(LingeringClose connection) {
-        if (!stopped) {
-            connections.add(connection);
+        if (!stopped && connections.add(connection)) {
+            counter.begin();
         }
         return !stopped;
     }
 
     synchronized void remove(LingeringClose connection) {
-        connections.remove(connection);
-        notifyAll();
+        if (connections.remove(connection)) {
+            counter.end();
+        }
     }
 
-    /** Waits until all callers have closed their connections, or until the timeout. */
-    synchronized void awaitNone(long timeoutMilliseconds) {
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMilliseconds);
-        try {
-            while (!connections.isEmpty() && System.nanoTime() < end) {
-                TimeUnit.NANOSECONDS.timedWait(this, end - System.nanoTime());
-            }
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-        }
+    /**
+     * Waits until all callers have closed their connections; returns how many have not after the
+     * timeout.
+     */
+    int awaitNone(long timeoutMilliseconds) {
+        return counter.awaitNone(timeoutMilliseconds);
     }
 
     /** Closes all connections; later ones are closed without waiting for their callers. */
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/RequestAdmission.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/RequestAdmission.java
@@ -12,7 +12,7 @@
     private static final long RETRY_DELAY_WHEN_STOPPING_MILLISECONDS = 50;
 
     private final int concurrentRequestLimit;
-    private final InProgressRequests requestsInProgress = new InProgressRequests();
+    private final ActivityCounter requestsInProgress = new ActivityCounter();
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final AtomicBoolean keepAliveDisabled = new AtomicBoolean();
     private final AtomicLong latestDeadlineMilliseconds = new AtomicLong(Long.MAX_VALUE);
@@ -21,7 +21,7 @@
         this.concurrentRequestLimit = concurrentRequestLimit;
     }
 
-    InProgressRequests requestsInProgress() {
+    ActivityCounter requestsInProgress() {
         return requestsInProgress;
     }
 
--- a/daemon/src/test/java/org/siskinramp/daemon/caller/LingeringCloseTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/caller/LingeringCloseTest.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -25,6 +26,9 @@
     private static final long TIMEOUT_MILLISECONDS = LingeringClose.LIMIT_MILLISECONDS + 5_000;
     private static final long SOON_MILLISECONDS = 1_000;
 
+    /** More than the send and receive buffers of the kernel hold together. */
+    private static final long SOCKET_BUFFER_BYTES = 64L * 1024 * 1024;
+
     private final CallerServer server =
             new CallerServer(
                     new PipelineProtocol(PipelineProtocol.Processed::complete),
@@ -98,17 +102,20 @@
     void aCallerThatSendsWithoutEndIsNotReadWithoutEnd() throws Exception {
         try (Socket socket = connectAndGet()) {
             String piece = "x".repeat(64 * 1024);
+            AtomicLong sentBytes = new AtomicLong();
             long start = System.nanoTime();
             assertThrows(
                     IOException.class,
                     () -> {
                         while (true) {
                             send(socket, piece);
+                            sentBytes.addAndGet(piece.length());
                         }
                     });
             long elapsed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
             assertTrue(elapsed > LingeringClose.LIMIT_MILLISECONDS - SOON_MILLISECONDS);
             assertEquals(0, server.connectionsClosing());
+            assertTrue(sentBytes.get() < LingeringClose.LIMIT_BYTES + SOCKET_BUFFER_BYTES);
         }
     }
 
