Wait for answers in delivery before an entry host ends

Found by reading the change again: when an entry host stopped, connections whose callers had not received the last answers were closed at once, so that a caller that went on sending could lose them.

--- a/daemon/src/main/java/org/siskinramp/daemon/EntryHostShutdown.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/EntryHostShutdown.java
@@ -14,7 +14,8 @@
 /**
  * Shuts an entry host down gracefully. It reports not ready while it still accepts requests for the
  * drain time, then refuses new requests, waits for those in progress, hands its slots over to the
- * other entry hosts, and waits until the outcomes of all claims and the journal are durable.
+ * other entry hosts, and waits until the outcomes of all claims and the journal are durable and
+ * callers have received the last answers.
  */
 final class EntryHostShutdown {
 
@@ -23,7 +24,7 @@
     /** Time for the released slots to be sent to the other entry hosts. */
     private static final long SLOT_HANDOVER_MILLISECONDS = 200;
 
-    /** Time for claims and the journal, even if requests have used up the stop timeout. */
+    /** Time for claims, journal and last answers, even if requests used up the stop timeout. */
     private static final long MINIMUM_SETTLING_MILLISECONDS = 3_000;
 
     private final Settings.Control control;
@@ -50,7 +51,8 @@
     }
 
     /**
-     * Shuts down; returns when everything is durable or the time is up.
+     * Shuts down; returns when everything is durable and no connection is being closed, or the time
+     * is up.
      *
      * @return true if no request was cut off and the outcomes of all claims and the journal are
      *     durable
@@ -67,10 +69,11 @@
         sleep(SLOT_HANDOVER_MILLISECONDS);
         awaitUntil(
                 Math.max(end, clock.monotonicMilliseconds() + MINIMUM_SETTLING_MILLISECONDS),
-                this::isDurable);
+                () -> isDurable() && callers.connectionsClosing() == 0);
         eventLog.record(
                 LogEvent.named("planned_stop")
                         .with("requests_cut", requestsCut)
+                        .with("connections_cut", callers.connectionsClosing())
                         .with("claims_unsettled", entryHost.unsettledClaims())
                         .with("journal_closed", entryHost.journalClosed().isDone()));
         return requestsCut == 0 && isDurable();
