Review case 14: a key in other capitals is taken for the one before it

On a kept connection a caller sends a request with a key, and one with a key that differs in capitals only and that no configuration holds. The second one is run by a server (ROUTE). The header cache of the HTTP server does not tell capitals apart.

--- a/review/harness-3/src/review/Caller.java
+++ b/review/harness-3/src/review/Caller.java
@@ -27,6 +27,7 @@
     private final Socket socket = new Socket();
     private final InputStream input;
     private final Record record;
+    private String host = "desk.example";
 
     Caller(InetSocketAddress address, Record record) throws IOException {
         socket.connect(address, CONNECT_MILLISECONDS);
@@ -36,13 +37,18 @@
         this.record = record;
     }
 
+    /** Writes the host of all later requests in another way. */
+    void useHost(String newHost) {
+        host = newHost;
+    }
+
     void send(String method, String path, String requestId, String headers, String body)
             throws IOException {
         String length = body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n";
         socket.getOutputStream()
                 .write(
                         Http.bytesOf(
-                                method + " " + path + " HTTP/1.1\r\nHost: desk.example\r\n"
+                                method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\n"
                                         + "X-Siskinramp-Request-Id: " + requestId + "\r\n"
                                         + "X-Siskinramp-Request-Deadline-Ms: 2500\r\n"
                                         + headers + length + "\r\n" + body));
--- a/review/harness-3/src/review/Deployment.java
+++ b/review/harness-3/src/review/Deployment.java
@@ -27,13 +27,25 @@
 
     /** Starts everything and waits until the gateway has been calm for over "contact_ms". */
     Deployment(Record record, long workMilliseconds) throws Exception {
-        this(record, workMilliseconds, USUAL_ATTEMPTS);
+        this(record, workMilliseconds, USUAL_ATTEMPTS, "");
     }
 
     /** Does the same with another number of attempts for reads. */
     Deployment(Record record, long workMilliseconds, int readAttempts) throws Exception {
+        this(record, workMilliseconds, readAttempts, "");
+    }
+
+    /** Does the same with a key that callers need. */
+    static Deployment withKey(Record record, long workMilliseconds, String key) throws Exception {
+        String tenants =
+                "\"tenants\":[{\"name\":\"office\",\"api_keys\":[\"" + key + "\"],\"priority\":1}],";
+        return new Deployment(record, workMilliseconds, USUAL_ATTEMPTS, tenants);
+    }
+
+    private Deployment(Record record, long workMilliseconds, int readAttempts, String tenants)
+            throws Exception {
         this.record = record;
-        store.put("op", "config", configuration(readAttempts));
+        store.put("op", "config", configuration(readAttempts, tenants));
         for (int number = 1; number <= SERVERS; number++) {
             servers.add(
                     new Server(
@@ -55,9 +67,9 @@
         record.add("the gateway has been ready for " + CALM_MILLISECONDS + " ms");
     }
 
-    private static String configuration(int readAttempts) {
+    private static String configuration(int readAttempts, String tenants) {
         return """
-        {"version":"r7",
+        {"version":"r7",%s
          "services":[{"name":"desk","health_path":"/health","max_conns":260,"protocol":"h1",
                       "tls":false,"warmup_s":3.0,"warmup_per_s":5.3}],
          "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,
@@ -68,7 +80,7 @@
            {"name":"write","prefix":"/write/","kind":"unsafe","timeout_ms":2500,
             "goal_latency_ms":800,"priority":1,"service":"desk","max_attempts":2}]}]}
         """
-                .formatted(readAttempts);
+                .formatted(tenants, readAttempts);
     }
 
     private void awaitReady() throws InterruptedException {
--- a/review/harness-3/src/review/ReadsBesideUploads.java
+++ b/review/harness-3/src/review/ReadsBesideUploads.java
@@ -2,12 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
@@ -50,7 +45,8 @@
             if (!deployment.gateway().isRunning()) {
                 throw new IllegalStateException("the gateway ended");
             }
-            List<String> exceeded = runOnMoreServersThanAllowed(deployment);
+            List<String> exceeded =
+                    Runs.readsOnMoreServersThan(READ_ATTEMPTS, deployment.runs());
             record.add("run on more servers than max_attempts: " + exceeded);
             return exceeded.size() > ALLOWED;
         }
@@ -64,7 +60,7 @@
         while (uploading.get()) {
             number++;
             try (Caller caller = deployment.gateway().connect(record)) {
-                caller.send("POST", "/write/upload/long", prefix + number, "", body);
+                caller.send("POST", "/write/upload" + Server.LONG_PATH, prefix + number, "", body);
                 Caller.Answer unused = caller.read();
             }
         }
@@ -74,7 +70,7 @@
     private static void readAhead(Deployment deployment, Record record, String prefix)
             throws IOException {
         try (Caller caller = deployment.gateway().connect(record)) {
-            caller.send("GET", "/read/long", prefix + "long", "", "");
+            caller.send("GET", "/read" + Server.LONG_PATH, prefix + "long", "", "");
             for (int number = 1; number <= READS; number++) {
                 caller.send("GET", "/read/" + number, prefix + number, "", "");
             }
@@ -85,23 +81,4 @@
             }
         }
     }
-
-    private static List<String> runOnMoreServersThanAllowed(Deployment deployment) {
-        Map<String, Set<String>> serversByRequest = new HashMap<>();
-        for (Server.Run run : deployment.runs()) {
-            if (run.method().equals("GET")) {
-                serversByRequest
-                        .computeIfAbsent(run.requestId(), key -> new HashSet<>())
-                        .add(run.server());
-            }
-        }
-        List<String> exceeded = new ArrayList<>();
-        serversByRequest.forEach(
-                (requestId, servers) -> {
-                    if (servers.size() > READ_ATTEMPTS) {
-                        exceeded.add(requestId);
-                    }
-                });
-        return exceeded;
-    }
 }
