--- a/review/harness-3/src/review/Server.java
+++ b/review/harness-3/src/review/Server.java
@@ -29,6 +29,11 @@
 
     private static final int LONG_WORK_FACTOR = 3;
 
+    /** Requests whose path begins so get the largest answer of the site file. */
+    static final String LARGE_PATH = "/read/large";
+
+    private static final String LARGE_BODY = "a".repeat(30_000);
+
     /** A request that the server began to run. */
     record Run(String requestId, String method, String target, String server) {}
 
@@ -154,7 +159,7 @@
                 output,
                 "200 OK",
                 identifier + "X-Siskinramp-Upstream-Signature: s." + identity + "\r\n",
-                "done " + requestId);
+                words[1].startsWith(LARGE_PATH) ? LARGE_BODY : "done " + requestId);
     }
 
     private void write(OutputStream output, String status, String headers, String body)
