--- a/review/harness-3/src/review/ReadsBesideUploads.java
+++ b/review/harness-3/src/review/ReadsBesideUploads.java
@@ -6,19 +6,19 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
- * Callers send reads ahead of a slow first answer, on a route with one attempt, while others upload.
+ * Callers send reads ahead of a slow first answer, on a route with one attempt, while another uploads.
  */
 final class ReadsBesideUploads {
 
-    private static final int CONNECTIONS = 12;
+    private static final int CONNECTIONS = 30;
     private static final int READS = 3;
     private static final int READ_ATTEMPTS = 1;
-    private static final int UPLOADS_AT_ONCE = 2;
+    private static final int UPLOADS_AT_ONCE = 1;
 
     /** An eighth of "max_body_bytes". */
-    private static final int UPLOAD_BYTES = 6 * 1024 * 1024;
+    private static final int UPLOAD_BYTES = 8 * 1024 * 1024;
 
-    private static final long WORK_MILLISECONDS = 100;
+    private static final long WORK_MILLISECONDS = 60;
     private static final long UPLOAD_LEAD_MILLISECONDS = 300;
 
     /** The rule allows three such requests. */
