Review case 11: unsafe requests, and callers that leave at their deadline

The callers announced a deadline of 2.5 s and waited 10 s, and the reads that were counted had not reached a server: clients abandon such reads after a second. The case now sends unsafe requests, and all callers announce 4 s and leave then.

--- a/review/harness-3/src/review/Caller.java
+++ b/review/harness-3/src/review/Caller.java
@@ -11,7 +11,9 @@
 final class Caller implements AutoCloseable {
 
     private static final int CONNECT_MILLISECONDS = 1_000;
-    private static final int ANSWER_MILLISECONDS = 10_000;
+
+    /** Longer than "timeout_ms" of the routes; the caller leaves when it has passed. */
+    static final int DEADLINE_MILLISECONDS = 4_000;
 
     /** A complete answer. */
     record Answer(int status, Map<String, String> headers, byte[] body) {
@@ -32,7 +34,7 @@
     Caller(InetSocketAddress address, Record record) throws IOException {
         socket.connect(address, CONNECT_MILLISECONDS);
         socket.setTcpNoDelay(true);
-        socket.setSoTimeout(ANSWER_MILLISECONDS);
+        socket.setSoTimeout(DEADLINE_MILLISECONDS);
         input = new BufferedInputStream(socket.getInputStream());
         this.record = record;
     }
@@ -50,7 +52,8 @@
                         Http.bytesOf(
                                 method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\n"
                                         + "X-Siskinramp-Request-Id: " + requestId + "\r\n"
-                                        + "X-Siskinramp-Request-Deadline-Ms: 2500\r\n"
+                                        + "X-Siskinramp-Request-Deadline-Ms: "
+                                        + DEADLINE_MILLISECONDS + "\r\n"
                                         + headers + length + "\r\n" + body));
         record.add("caller sends " + requestId + ": " + method + " " + path);
     }
--- a/review/harness-3/src/review/Deployment.java
+++ b/review/harness-3/src/review/Deployment.java
@@ -7,6 +7,8 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Stream;
 import org.siskinramp.standin.store.StoreStandIn;
 
@@ -24,6 +26,7 @@
     private final Path folder = Files.createTempDirectory("review-3-");
     private final StoreStandIn store = StoreStandIn.start("127.0.0.1:0");
     private final List<Server> servers = new ArrayList<>();
+    private final Set<String> started = ConcurrentHashMap.newKeySet();
     private final Record record;
     private final Gateway gateway;
 
@@ -70,7 +73,8 @@
                             slots,
                             workMilliseconds,
                             store,
-                            record));
+                            record,
+                            started));
         }
         Random random = new Random();
         String address = "127." + (1 + random.nextInt(250)) + "." + random.nextInt(250) + ".7";
@@ -112,6 +116,11 @@
         return gateway;
     }
 
+    /** Tells whether a server has begun to run a request, which the gateway has read then. */
+    boolean hasStarted(String requestId) {
+        return started.contains(requestId);
+    }
+
     /** Returns all runs so far, in no particular order. */
     List<Server.Run> runs() {
         return servers.stream().flatMap(server -> server.runs().stream()).toList();
--- a/review/harness-3/src/review/ManyConnections.java
+++ b/review/harness-3/src/review/ManyConnections.java
@@ -29,6 +29,8 @@
     /** The rule needs this many requests without an answer. */
     private static final int MINIMUM_UNANSWERED = 8;
 
+    private static final String BODY = "a".repeat(200);
+
     private static final String HEADERS =
             "User-Agent: Mozilla/5.0 (X11; Linux x86_64; rv:128.0) Gecko/20100101 Firefox/128.0\r\n"
                     + "Accept: text/html,application/xhtml+xml;q=0.9,*/*;q=0.8\r\n"
@@ -83,11 +85,13 @@
             while (open && record.milliseconds() < endMilliseconds) {
                 number++;
                 long sent = record.milliseconds();
-                caller.send("GET", "/read/" + number, prefix + number, HEADERS, "");
+                caller.send("POST", "/write/" + number, prefix + number, HEADERS, BODY);
                 Caller.Answer answer = caller.read();
                 durations.add(record.milliseconds() - sent);
                 open = answer != null && !answer.closesConnection();
-                Thread.sleep(intervalMilliseconds);
+                if (open) {
+                    Thread.sleep(intervalMilliseconds);
+                }
             }
         }
     }
@@ -98,7 +102,7 @@
         record.add("the gateway says that it is ready: " + deployment.gateway().isReady());
         for (int number = 1; number <= REQUESTS_AFTER_REST; number++) {
             try (Caller caller = deployment.gateway().connect(record)) {
-                caller.send("GET", "/read/" + number, "rest-" + number, HEADERS, "");
+                caller.send("POST", "/write/" + number, "rest-" + number, HEADERS, BODY);
                 Caller.Answer unused = caller.read();
             } catch (Exception notConnected) {
                 record.add("caller cannot connect: " + notConnected.getMessage());
--- a/review/harness-3/src/review/Server.java
+++ b/review/harness-3/src/review/Server.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -49,6 +50,7 @@
     private final AtomicLong sequence = new AtomicLong();
     private final AtomicInteger running = new AtomicInteger();
     private final List<Run> runs = new CopyOnWriteArrayList<>();
+    private final Set<String> startedRequests;
     private volatile boolean closed;
 
     Server(
@@ -58,7 +60,8 @@
             int slots,
             long workMilliseconds,
             StoreStandIn store,
-            Record record)
+            Record record,
+            Set<String> startedRequests)
             throws IOException {
         this.identity = identity;
         this.service = service;
@@ -67,6 +70,7 @@
         this.workMilliseconds = workMilliseconds;
         this.store = store;
         this.record = record;
+        this.startedRequests = startedRequests;
         listener = new ServerSocket(0, ACCEPT_BACKLOG, InetAddress.getByName("127.0.0.1"));
         Threads.start(this::accept);
         Threads.start(this::publishRegularly);
@@ -144,6 +148,7 @@
             return;
         }
         try {
+            startedRequests.add(requestId);
             runs.add(new Run(requestId, words[0], words[1], identity));
             record.add(
                     identity + " runs " + requestId + ": " + words[0] + " " + words[1] + ", body of "
