--- a/review/harness-3/src/review/ReadsAheadAtOnce.java
+++ b/review/harness-3/src/review/ReadsAheadAtOnce.java
@@ -16,11 +16,15 @@
     private static final long LOAD_MILLISECONDS = 20_000;
     private static final long TIMEOUT_MILLISECONDS = 2_500;
     private static final long LATE_MILLISECONDS = TIMEOUT_MILLISECONDS + 500;
+    /** After this time a caller abandons reads that the gateway has not read (PROTOCOL.md). */
+    private static final long UNREAD_MILLISECONDS = 1_000;
+
     private static final long REST_MILLISECONDS = 10_000;
 
     /** The rule needs this many requests without an answer. */
     private static final int MINIMUM_UNANSWERED = 8;
 
+    private final AtomicInteger abandoned = new AtomicInteger();
     private final AtomicInteger sent = new AtomicInteger();
     private final AtomicInteger overTime = new AtomicInteger();
     private final AtomicInteger unanswered = new AtomicInteger();
@@ -75,9 +79,12 @@
                 while (open && record.milliseconds() < endMilliseconds) {
                     round++;
                     open = sendReads(caller, prefix + round + "-");
-                    Thread.sleep(ThreadLocalRandom.current().nextLong(PAUSE_MILLISECONDS));
+                    if (open) {
+                        Thread.sleep(ThreadLocalRandom.current().nextLong(PAUSE_MILLISECONDS));
+                    }
                 }
             }
+            Thread.sleep(ThreadLocalRandom.current().nextLong(PAUSE_MILLISECONDS));
         }
     }
 
@@ -91,12 +98,31 @@
             caller.send("GET", path, prefix + number, "", "");
             open = ahead || readAnswer(caller, sentMilliseconds[number]);
         }
+        AtomicInteger answered = new AtomicInteger();
+        if (ahead) {
+            Threads.start(() -> abandonIfUnread(caller, prefix, answered));
+        }
         for (int number = 0; ahead && number < READS && open; number++) {
             open = readAnswer(caller, sentMilliseconds[number]);
+            answered.incrementAndGet();
         }
         return open;
     }
 
+    /** A read that no server has begun to run counts as not read, which favours the gateway. */
+    private void abandonIfUnread(Caller caller, String prefix, AtomicInteger answered)
+            throws Exception {
+        Thread.sleep(UNREAD_MILLISECONDS);
+        for (int number = answered.get(); number < READS; number++) {
+            if (!deployment.hasStarted(prefix + number)) {
+                record.add("caller abandons " + prefix + number);
+                abandoned.incrementAndGet();
+                caller.close();
+                return;
+            }
+        }
+    }
+
     private boolean readAnswer(Caller caller, long sentMilliseconds) {
         Caller.Answer answer = caller.read();
         long took = record.milliseconds() - sentMilliseconds;
