Share the recorder of received fields, and read whole answers in raw connections

The test of header values needs what WorkspaceProcessTest records, requests sent ahead and the fields of answers. The assertions of WorkspaceProcessTest are as they were; a request that no server received still fails them.

--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/RawConnection.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/RawConnection.java
@@ -7,6 +7,8 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 
 /**
@@ -49,31 +51,53 @@
      * @param fields header fields as they are sent
      */
     int send(String start, String requestId, String rest, String... fields) {
+        List<String> all = new ArrayList<>(List.of("Host: localhost"));
+        all.addAll(List.of(fields));
+        write(format(start, requestId, all) + rest);
+        return read().status();
+    }
+
+    /** Formats the head of a request with fields as given, and with line feeds as line ends. */
+    static String format(String start, String requestId, List<String> fields) {
         StringBuilder text =
                 new StringBuilder(start)
-                        .append(" HTTP/1.1\nHost: localhost\nX-Siskinramp-Request-Id: ")
+                        .append(" HTTP/1.1\nX-Siskinramp-Request-Id: ")
                         .append(requestId)
                         .append('\n');
         for (String field : fields) {
             text.append(field).append('\n');
         }
-        text.append('\n').append(rest);
+        return text.append('\n').toString();
+    }
+
+    /** Sends one or more requests, with line feeds in place of line ends. */
+    void write(String text) {
         try {
             socket.getOutputStream()
-                    .write(text.toString().replace("\n", "\r\n").getBytes(StandardCharsets.UTF_8));
-            return readStatus();
+                    .write(text.replace("\n", "\r\n").getBytes(StandardCharsets.UTF_8));
         } catch (IOException failure) {
-            throw new UncheckedIOException(requestId, failure);
+            throw new UncheckedIOException(text, failure);
         }
     }
 
-    private int readStatus() throws IOException {
+    /** Reads the next answer. */
+    Answer read() {
+        try {
+            return readAnswer();
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    private Answer readAnswer() throws IOException {
         String statusLine = reader.readLine();
         if (statusLine == null) {
             throw new IOException("closed without an answer");
         }
+        List<String> fields = new ArrayList<>();
         int bodyLength = 0;
         for (String line = reader.readLine(); !line.isEmpty(); line = reader.readLine()) {
+            fields.add(line);
             if (line.toLowerCase(Locale.ROOT).startsWith(LENGTH_FIELD)) {
                 bodyLength = Integer.parseInt(line.substring(LENGTH_FIELD.length()).strip());
             }
@@ -81,9 +105,12 @@
         for (int read = 0; read < bodyLength; read++) {
             reader.read();
         }
-        return Integer.parseInt(statusLine.substring(STATUS_START, STATUS_END));
+        return new Answer(Integer.parseInt(statusLine.substring(STATUS_START, STATUS_END)), fields);
     }
 
+    /** The status of an answer and its header fields as they were received. */
+    record Answer(int status, List<String> fields) {}
+
     @Override
     public void close() {
         try {
--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/WorkspaceProcessTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/WorkspaceProcessTest.java
@@ -8,15 +8,13 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.Set;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.siskinramp.request.Header;
 import org.siskinramp.standin.TestClient;
-import org.siskinramp.standin.upstream.RunListener;
 import org.siskinramp.standin.upstream.SampleDeployment;
 import org.siskinramp.standin.upstream.UpstreamStandIn;
 
@@ -41,7 +39,7 @@
 
     @TempDir private Path directory;
 
-    private final Map<String, List<Header>> receivedFields = new ConcurrentHashMap<>();
+    private final ReceivedFields receivedFields = new ReceivedFields();
     private final List<RawConnection> connections = new ArrayList<>();
     private GatewayDeployment deployment;
     private int configurationVersion = 1;
@@ -51,7 +49,7 @@
     void start() throws Exception {
         deployment = new GatewayDeployment(directory, 2, 5, 40);
         for (UpstreamStandIn server : deployment.servers()) {
-            server.setRunListener(new FieldRecorder());
+            server.setRunListener(receivedFields);
         }
         deployment.startGateways(HOSTS);
         deployment.awaitHostsCounted();
@@ -108,7 +106,7 @@
 
     /** Fails if a server got a key, or a workspace's name other than once. */
     private void assertServerGot(String requestId, List<String> workspaceNames) {
-        List<Header> fields = receivedFields.get(requestId);
+        List<Header> fields = receivedFields.of(requestId);
         List<String> names =
                 fields.stream()
                         .filter(field -> field.name().replace('_', '-').equalsIgnoreCase(TENANT))
@@ -187,7 +185,7 @@
         assertEquals(all(401), statuses(TARGET, "Authorization: Basic " + CREW_KEY));
         assertEquals(all(401), statuses(TARGET, "Authorization: Bearer "));
         assertEquals(all(400), statuses(TARGET, bearing(CREW_KEY), bearing(UNKNOWN_KEY)));
-        assertEquals(Map.of(), receivedFields);
+        assertEquals(Set.of(), receivedFields.requestIds());
         assertNoKeyLogged();
     }
 
@@ -228,20 +226,4 @@
         assertEquals(all(401), statuses(TARGET, bearing(CREW_LATER_KEY)));
         assertNoKeyLogged();
     }
-
-    private final class FieldRecorder implements RunListener {
-
-        @Override
-        public void received(List<Header> fields) {
-            fields.stream()
-                    .filter(field -> field.name().equalsIgnoreCase("X-Siskinramp-Request-Id"))
-                    .forEach(field -> receivedFields.put(field.value(), fields));
-        }
-
-        @Override
-        public void started(String requestId) {}
-
-        @Override
-        public void ended(String requestId) {}
-    }
 }
