Read the header values of callers as they were sent

Callers saw a key that no configuration held accepted, and run an unsafe request, if it differed in letter case only from the key before it on its connection; a key of one workspace was taken for that of another, with its quota. Cookies, hosts and other values reached servers in the letters of an earlier request, and reads sent ahead ran twice.

Cause: the parser of the HTTP library compares the values of some headers, Authorization, Cookie, Host and Accept among them, without regard to case with those of earlier requests of the connection and with a table of common values, and returns the one that it knows, also for a part of a longer value. The parser of what is sent ahead has no earlier requests, so that the two readings of a request differed: the answer of the early one was dropped.

Change: VerbatimHeaders makes both parsers keep no values and compare the table by case. The stand-ins of servers do the same, so that tests see what was sent.

--- a/daemon/src/main/java/org/siskinramp/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/CallerServer.java
@@ -15,6 +15,7 @@
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.siskinramp.configuration.Configuration;
+import org.siskinramp.daemon.http.VerbatimHeaders;
 import org.siskinramp.log.Counters;
 import org.siskinramp.log.EventLog;
 import org.siskinramp.log.LogEvent;
@@ -111,6 +112,7 @@
         http.setSendServerVersion(false);
         http.setSendDateHeader(false);
         http.setUriCompliance(UriCompliance.UNSAFE);
+        VerbatimHeaders.setUp(http);
         return http;
     }
 
--- a/daemon/src/main/java/org/siskinramp/daemon/caller/HeadParser.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/caller/HeadParser.java
@@ -8,6 +8,7 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpVersion;
+import org.siskinramp.daemon.http.VerbatimHeaders;
 
 /** Parses request heads with the parser, the limit and the rules of the HTTP connection. */
 final class HeadParser {
@@ -30,7 +31,9 @@
     Optional<ParsedHead> parse(ByteBuffer bytes) {
         int start = bytes.position();
         Collector collector = new Collector();
-        new HttpParser(collector, headerLimitBytes, HttpCompliance.RFC9110).parseNext(bytes);
+        HttpParser parser = new HttpParser(collector, headerLimitBytes, HttpCompliance.RFC9110);
+        VerbatimHeaders.setUp(parser);
+        parser.parseNext(bytes);
         if (!collector.complete || collector.invalid) {
             return Optional.empty();
         }
--- a/stand-in/src/main/java/org/siskinramp/standin/http/HttpService.java
+++ b/stand-in/src/main/java/org/siskinramp/standin/http/HttpService.java
@@ -16,6 +16,7 @@
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.Promise;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.siskinramp.daemon.http.VerbatimHeaders;
 import org.siskinramp.result.ResultException;
 
 /** An HTTP server on one loopback address. */
@@ -108,6 +109,7 @@
         configuration.setUriCompliance(UriCompliance.UNSAFE);
         configuration.setSendServerVersion(false);
         configuration.setSendDateHeader(false);
+        VerbatimHeaders.setUp(configuration);
         return configuration;
     }
 
