Read the header values of backend servers and of the store as they were sent

Callers got values of answers, such as Content-Type, Cache-Control and Expires, in other letters than the server had sent them: quoted field names in Cache-Control and dates are not the same to every reader.

Cause: as for requests; the parser of the HTTP client compares values without regard to case with earlier ones of the connection and with a table.

Change: VerbatimHeaders sets up the client that serves both the backend servers and the store. The store's answers decide nothing by a value that was changed.

Evidence: before, VerbatimHeadersTest failed in 7 of its 11 cases of answers and VerbatimHeadersProcessTest.answersReachTheCallerAsSent failed; both pass now. The tests of requests to servers, of cookies, and of codings and close options in any letters passed before too, and guard what the change could break.

--- a/daemon/src/main/java/org/siskinramp/daemon/exchange/HttpExchanger.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/exchange/HttpExchanger.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.Promise;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.siskinramp.daemon.http.VerbatimHeaders;
 import org.siskinramp.log.Counter;
 import org.siskinramp.log.Counters;
 import org.siskinramp.log.EventLog;
@@ -68,7 +69,9 @@
     private static HttpClient newClient(String name, ExchangeOptions options) {
         ClientConnector connector = new ResetAwareConnector();
         connector.setSelectors(1);
-        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
+        VerbatimHeaders.setUp(transport);
+        HttpClient client = new HttpClient(transport);
         QueuedThreadPool threads = new QueuedThreadPool(options.threads(), 4);
         threads.setName(name);
         client.setExecutor(threads);
--- a/daemon/src/main/java/org/siskinramp/daemon/http/VerbatimHeaders.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/http/VerbatimHeaders.java
@@ -1,5 +1,6 @@
 package org.siskinramp.daemon.http;
 
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.server.HttpConfiguration;
 
@@ -27,6 +28,16 @@
         configuration.setHeaderCacheCaseSensitive(true);
     }
 
+    /**
+     * Sets up the connections of a client.
+     *
+     * @param transport the transport of the client
+     */
+    public static void setUp(HttpClientTransportOverHTTP transport) {
+        transport.setHeaderCacheSize(CACHE_SIZE_BYTES);
+        transport.setHeaderCacheCaseSensitive(true);
+    }
+
     /**
      * Sets up a single parser.
      *
--- a/stand-in/src/test/java/org/siskinramp/standin/cluster/VerbatimHeadersProcessTest.java
+++ b/stand-in/src/test/java/org/siskinramp/standin/cluster/VerbatimHeadersProcessTest.java
@@ -1,6 +1,7 @@
 package org.siskinramp.standin.cluster;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -9,6 +10,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.siskinramp.request.Header;
 import org.siskinramp.standin.TestClient;
 import org.siskinramp.standin.upstream.SampleDeployment;
 
@@ -182,4 +184,28 @@
         sendAhead(fields);
         assertEquals(statuses, readStatuses(fields.size()));
     }
+
+    @Test
+    void answersReachTheCallerAsSent() {
+        List<List<Header>> headers =
+                List.of(
+                        List.of(
+                                new Header("Cache-Control", "no-cache"),
+                                new Header("Content-Type", "application/json"),
+                                new Header("Set-Cookie", "session=a")),
+                        List.of(
+                                new Header("Cache-Control", "No-Cache"),
+                                new Header("Content-Type", "Application/JSON"),
+                                new Header("Set-Cookie", "session=A")));
+        for (int answer = 0; answer < 4; answer++) {
+            List<Header> sent = headers.get(answer % 2);
+            deployment.server(0).setAdditionalHeaders(sent.toArray(Header[]::new));
+            caller.write(RawConnection.format("GET /read/x", nextRequestId(), List.of(HOST)));
+            List<String> fields = caller.read().fields();
+            for (Header header : sent) {
+                String field = header.name() + ": " + header.value();
+                assertTrue(fields.contains(field), fields.toString());
+            }
+        }
+    }
 }
