Refuse an administration token that differs in letter case only

Operators' commands were carried out with a wrong token, if it differed in letter case only from the right one before it on the connection.

Cause: as for callers' keys; the administration server has a configuration of its own for its HTTP connections.

Change: VerbatimHeaders sets it up too.

Evidence: before, AdministrationServerTest. aTokenInOtherLettersIsRefusedOnTheConnectionOfTheRightOne got 200 in place of 401; it passes now.

--- a/daemon/src/main/java/org/siskinramp/daemon/administration/AdministrationServer.java
+++ b/daemon/src/main/java/org/siskinramp/daemon/administration/AdministrationServer.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.siskinramp.daemon.administration.command.AdministrationCommands;
 import org.siskinramp.daemon.administration.query.AdministrationQueries;
+import org.siskinramp.daemon.http.VerbatimHeaders;
 import org.siskinramp.daemon.metrics.Metrics;
 import org.siskinramp.log.EventLog;
 
@@ -75,6 +76,7 @@
         HttpConfiguration configuration = new HttpConfiguration();
         configuration.setUriCompliance(URI_COMPLIANCE);
         configuration.setSendServerVersion(false);
+        VerbatimHeaders.setUp(configuration);
         return new HttpConnectionFactory(configuration);
     }
 
--- a/daemon/src/test/java/org/siskinramp/daemon/administration/AdministrationServerTest.java
+++ b/daemon/src/test/java/org/siskinramp/daemon/administration/AdministrationServerTest.java
@@ -11,6 +11,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -64,6 +65,36 @@
         assertEquals(List.of(), administration.commands());
     }
 
+    /** Guards against a token that is taken for the one before it on the connection. */
+    @Test
+    void aTokenInOtherLettersIsRefusedOnTheConnectionOfTheRightOne() throws Exception {
+        try (Socket socket =
+                new Socket(server.address().getAddress(), server.address().getPort())) {
+            socket.setSoTimeout((int) ANSWER_TIMEOUT.toMillis());
+            assertEquals("HTTP/1.1 200", statusOnConnection(socket, RIGHT_TOKEN));
+            assertEquals("HTTP/1.1 401", statusOnConnection(socket, "Bearer ABCDEFGHIJKLMNOP"));
+            assertEquals("HTTP/1.1 200", statusOnConnection(socket, RIGHT_TOKEN));
+        }
+        assertEquals(2, administration.commands().size());
+    }
+
+    private static String statusOnConnection(Socket socket, String authorization)
+            throws IOException {
+        String request =
+                "POST /v1/hosts/entry-1/in HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"
+                        + "Authorization: "
+                        + authorization
+                        + "\r\n\r\n";
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+        StringBuilder answer = new StringBuilder();
+        while (answer.indexOf("}\n") < 0) {
+            int next = socket.getInputStream().read();
+            assertTrue(next >= 0, answer::toString);
+            answer.append((char) next);
+        }
+        return answer.substring(0, "HTTP/1.1 200".length());
+    }
+
     @Test
     void livenessReadinessAndMetricsNeedNoToken() throws Exception {
         assertEquals(200, send("GET", "/live", "", "").statusCode());
